--- a/Makefile
+++ b/Makefile
@@ -15,12 +15,14 @@
 	-Wmissing-prototypes -Wno-missing-field-initializers $(SANITIZE)
 CPPFLAGS = -D_GNU_SOURCE -DG_LOG_USE_STRUCTURED \
 	-DRADISHPIER_VERSION='"$(VERSION)"' -I. $(PKG_CFLAGS)
+# The programs can be built without the adapter to the users' platform.
+CPPFLAGS += $(if $(wildcard platform/platform.h),-DRADISHPIER_PLATFORM)
 LDFLAGS = $(SANITIZE)
 LDLIBS = $(PKG_LIBS) -largtable2 -lm
 TEST_LIBS = $(shell pkg-config --libs check)
 
 # Packages in link order; each is a directory with one public header.
-LIBRARIES = entry jobs agent kv net config wire obs
+LIBRARIES = $(patsubst %/platform.h,%,$(wildcard platform/platform.h)) cell runs sched entry jobs agent kv net config wire obs
 PROGRAMS = radishpier radishpier-agent
 TOOLS = standin
 
@@ -42,6 +44,9 @@
 
 all: $(PROGRAM_BINARIES) $(TOOL_BINARIES)
 
+programs:
+	@$(MAKE) --no-print-directory -j8 $(PROGRAM_BINARIES)
+
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
 $(BUILD)/%.o: %.c
@@ -71,7 +76,7 @@
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) $(TOOL_LIBS) $(TEST_LIBS)
 
 .PRECIOUS: $(BUILD)/%.o
-.PHONY: all test build-test lint format sanitize bench bench-ci demo install \
+.PHONY: all programs test build-test lint format sanitize bench bench-ci demo install \
 	clean packages proto
 
 packages:
--- /dev/null
+++ b/cell/agent.c
@@ -0,0 +1,150 @@
+#include "internal.h"
+
+#include <event2/listener.h>
+
+/* The agent: carries the leader's orders to the worker of its VM. */
+
+struct cell_agent {
+	struct cell_agent_options options;
+	struct evconnlistener *listener;
+	struct event *tick;
+	struct cell_follow follow;
+	struct cell_register reg;
+	struct runs *runs;
+	GArray *effects;
+	gboolean reducing;
+};
+
+static void reduce(struct cell_agent *agent, struct runs_event *ev)
+{
+	guint i;
+
+	ev->now_ms = cell_now_ms();
+	runs_reduce(agent->runs, ev, agent->effects);
+	if (agent->reducing)
+		return;
+	agent->reducing = TRUE;
+	/* An effect may cause an event, whose effects come at the end. */
+	for (i = 0; i < agent->effects->len; i++) {
+		struct runs_effect effect =
+			g_array_index(agent->effects, struct runs_effect, i);
+
+		if (effect.kind == RUNS_EFFECT_CALL)
+			agent->options.call_worker(agent->options.ctx,
+						   effect.call);
+		else
+			cell_follow_send(&agent->follow, effect.frame);
+		runs_effect_clear(&effect);
+	}
+	g_array_set_size(agent->effects, 0);
+	agent->reducing = FALSE;
+}
+
+static void on_leader(void *ctx, guint64 fence)
+{
+	struct runs_event ev = { .kind = RUNS_EVENT_LEADER, .fence = fence };
+
+	reduce(ctx, &ev);
+}
+
+static void on_lost(void *ctx)
+{
+	struct runs_event ev = { .kind = RUNS_EVENT_LEADER_LOST };
+
+	reduce(ctx, &ev);
+}
+
+static void on_frame(void *ctx, const struct Rp__Frame *frame)
+{
+	struct runs_event ev = { .kind = RUNS_EVENT_ORDERS };
+
+	if (frame->body_case != RP__FRAME__BODY_VM_ORDERS)
+		return;
+	ev.orders = frame->vm_orders;
+	reduce(ctx, &ev);
+}
+
+static void on_accept(void *ctx, evutil_socket_t fd)
+{
+	struct cell_agent *agent = ctx;
+
+	cell_follow_accept(&agent->follow, fd);
+}
+
+static void on_tick(evutil_socket_t fd G_GNUC_UNUSED, short what G_GNUC_UNUSED,
+		    void *arg)
+{
+	struct cell_agent *agent = arg;
+	struct runs_event ev = { .kind = RUNS_EVENT_TICK };
+	gint64 now_ms = cell_now_ms();
+
+	cell_follow_tick(&agent->follow, now_ms);
+	cell_register_tick(&agent->reg, now_ms, agent->follow.conn != NULL);
+	reduce(agent, &ev);
+}
+
+struct cell_agent *cell_agent_new(const struct cell_agent_options *options,
+				  GError **error)
+{
+	static const struct timeval interval = {
+		.tv_usec = CELL_TICK_MS * 1000,
+	};
+	struct cell_agent *agent = g_new0(struct cell_agent, 1);
+
+	agent->options = *options;
+	agent->listener = cell_listen(options->base, options->listen, on_accept,
+				      agent, error);
+	if (!agent->listener) {
+		g_free(agent);
+		return NULL;
+	}
+	cell_follow_init(&agent->follow, options->base);
+	agent->follow.on_leader = on_leader;
+	agent->follow.on_frame = on_frame;
+	agent->follow.on_lost = on_lost;
+	agent->follow.ctx = agent;
+	cell_register_init(&agent->reg, options->kv, options->name,
+			   CELL_ROLE_AGENT, options->listen);
+	agent->runs = runs_new();
+	agent->effects = g_array_new(FALSE, FALSE, sizeof(struct runs_effect));
+	agent->tick = event_new(options->base, -1, EV_PERSIST, on_tick, agent);
+	event_add(agent->tick, &interval);
+	return agent;
+}
+
+void cell_agent_free(struct cell_agent *agent)
+{
+	event_free(agent->tick);
+	evconnlistener_free(agent->listener);
+	cell_follow_clear(&agent->follow);
+	cell_register_clear(&agent->reg);
+	runs_free(agent->runs);
+	g_array_unref(agent->effects);
+	g_free(agent);
+}
+
+void cell_agent_worker(struct cell_agent *agent,
+		       const struct Rp__WorkerInfo *worker)
+{
+	struct runs_event ev = { .kind = RUNS_EVENT_WORKER, .worker = worker };
+
+	reduce(agent, &ev);
+}
+
+void cell_agent_worker_left(struct cell_agent *agent, const char *worker_id)
+{
+	struct runs_event ev = {
+		.kind = RUNS_EVENT_WORKER_LEFT,
+		.worker_id = worker_id,
+	};
+
+	reduce(agent, &ev);
+}
+
+void cell_agent_answer(struct cell_agent *agent,
+		       const struct runs_answer *answer)
+{
+	struct runs_event ev = { .kind = RUNS_EVENT_ANSWER, .answer = answer };
+
+	reduce(agent, &ev);
+}
--- /dev/null
+++ b/cell/conn.c
@@ -0,0 +1,243 @@
+#include "internal.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <time.h>
+
+/* Connections between processes: frames over TCP. */
+
+/** A connection that is not made in this time is given up. */
+#define CONNECT_TIMEOUT_MS 1000
+
+/** Bytes that wait to be sent; a reader that is so far behind is cut off. */
+#define MAX_UNSENT_BYTES (8 * 1024 * 1024)
+
+G_DEFINE_QUARK(cell_error_quark, cell_error)
+
+struct cell_conn {
+	struct bufferevent *bev;
+	const struct cell_conn_handler *handler;
+	void *ctx;
+	gint64 heard_ms;
+	gboolean closed;
+	/** Within a call of the handler; freed when it returns. */
+	guint busy;
+};
+
+gint64 cell_now_ms(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_BOOTTIME, &ts);
+	return (gint64)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+}
+
+static void destroy(struct cell_conn *conn)
+{
+	bufferevent_free(conn->bev);
+	g_free(conn);
+}
+
+void cell_conn_close(struct cell_conn *conn)
+{
+	if (conn->closed)
+		return;
+	conn->closed = TRUE;
+	if (!conn->busy)
+		destroy(conn);
+}
+
+static void fail(struct cell_conn *conn, const char *why)
+{
+	if (conn->closed)
+		return;
+	conn->closed = TRUE;
+	conn->busy++;
+	conn->handler->on_close(conn->ctx, conn, why);
+	conn->busy--;
+	if (!conn->busy)
+		destroy(conn);
+}
+
+static void leave(struct cell_conn *conn)
+{
+	conn->busy--;
+	if (conn->closed && !conn->busy)
+		destroy(conn);
+}
+
+static void on_read(struct bufferevent *bev, void *arg)
+{
+	struct cell_conn *conn = arg;
+	struct evbuffer *input = bufferevent_get_input(bev);
+
+	conn->heard_ms = cell_now_ms();
+	conn->busy++;
+	while (!conn->closed) {
+		g_autoptr(GError) error = NULL;
+		struct Rp__Frame *frame = NULL;
+		int got = wire_read(input, &frame, &error);
+
+		if (!got)
+			break;
+		if (got < 0) {
+			fail(conn, error->message);
+			break;
+		}
+		if (!wire_unknown_body(frame))
+			conn->handler->on_frame(conn->ctx, conn, frame);
+		wire_frame_free(frame);
+	}
+	leave(conn);
+}
+
+static void on_event(struct bufferevent *bev, short what, void *arg)
+{
+	struct cell_conn *conn = arg;
+	int one = 1;
+
+	if (what & BEV_EVENT_CONNECTED) {
+		setsockopt(bufferevent_getfd(bev), IPPROTO_TCP, TCP_NODELAY,
+			   &one, sizeof(one));
+		bufferevent_set_timeouts(bev, NULL, NULL);
+		conn->heard_ms = cell_now_ms();
+		conn->busy++;
+		conn->handler->on_connect(conn->ctx, conn);
+		leave(conn);
+		return;
+	}
+	fail(conn, what & BEV_EVENT_TIMEOUT ? "not connected in time"
+					    : "connection lost");
+}
+
+static struct cell_conn *conn_new(struct bufferevent *bev,
+				  const struct cell_conn_handler *handler,
+				  void *ctx)
+{
+	struct cell_conn *conn = g_new0(struct cell_conn, 1);
+
+	conn->bev = bev;
+	conn->handler = handler;
+	conn->ctx = ctx;
+	conn->heard_ms = cell_now_ms();
+	bufferevent_setcb(bev, on_read, NULL, on_event, conn);
+	bufferevent_enable(bev, EV_READ | EV_WRITE);
+	return conn;
+}
+
+struct cell_conn *cell_conn_dial(struct event_base *base, const char *address,
+				 const struct cell_conn_handler *handler,
+				 void *ctx)
+{
+	static const struct timeval timeout = {
+		.tv_sec = CONNECT_TIMEOUT_MS / 1000,
+		.tv_usec = CONNECT_TIMEOUT_MS % 1000 * 1000,
+	};
+	struct sockaddr_storage addr;
+	int len = sizeof(addr);
+	struct bufferevent *bev;
+	struct cell_conn *conn;
+
+	if (evutil_parse_sockaddr_port(address, (struct sockaddr *)&addr,
+				       &len) < 0)
+		return NULL;
+	bev = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE |
+						       BEV_OPT_DEFER_CALLBACKS);
+	if (!bev)
+		return NULL;
+	conn = conn_new(bev, handler, ctx);
+	bufferevent_set_timeouts(bev, &timeout, &timeout);
+	/* A failure is told by a deferred event. */
+	if (bufferevent_socket_connect(bev, (struct sockaddr *)&addr, len) <
+	    0) {
+		destroy(conn);
+		return NULL;
+	}
+	return conn;
+}
+
+struct cell_conn *cell_conn_accept(struct event_base *base, evutil_socket_t fd,
+				   const struct cell_conn_handler *handler,
+				   void *ctx)
+{
+	struct bufferevent *bev = bufferevent_socket_new(
+		base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+	int one = 1;
+
+	if (!bev) {
+		evutil_closesocket(fd);
+		return NULL;
+	}
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	return conn_new(bev, handler, ctx);
+}
+
+void cell_conn_set_ctx(struct cell_conn *conn, void *ctx)
+{
+	conn->ctx = ctx;
+}
+
+void cell_conn_send(struct cell_conn *conn, const struct Rp__Frame *frame)
+{
+	struct evbuffer *output = bufferevent_get_output(conn->bev);
+	g_autoptr(GError) error = NULL;
+
+	if (conn->closed)
+		return;
+	if (evbuffer_get_length(output) > MAX_UNSENT_BYTES)
+		g_warning("%s frame dropped: the peer does not read",
+			  wire_frame_name(frame));
+	else if (wire_write(output, frame, &error) < 0)
+		g_warning("frame dropped: %s", error->message);
+}
+
+gint64 cell_conn_heard_ms(const struct cell_conn *conn)
+{
+	return conn->heard_ms;
+}
+
+struct listen_ctx {
+	void (*on_accept)(void *ctx, evutil_socket_t fd);
+	void *ctx;
+};
+
+static void on_accept(struct evconnlistener *listener G_GNUC_UNUSED,
+		      evutil_socket_t fd, struct sockaddr *addr G_GNUC_UNUSED,
+		      int len G_GNUC_UNUSED, void *arg)
+{
+	struct listen_ctx *ctx = arg;
+
+	ctx->on_accept(ctx->ctx, fd);
+}
+
+struct evconnlistener *cell_listen(struct event_base *base, const char *address,
+				   void (*accept_fn)(void *ctx,
+						     evutil_socket_t fd),
+				   void *ctx, GError **error)
+{
+	struct sockaddr_storage addr;
+	int len = sizeof(addr);
+	struct evconnlistener *listener = NULL;
+	struct listen_ctx *listen_ctx = g_new0(struct listen_ctx, 1);
+
+	listen_ctx->on_accept = accept_fn;
+	listen_ctx->ctx = ctx;
+	if (!evutil_parse_sockaddr_port(address, (struct sockaddr *)&addr,
+					&len))
+		listener = evconnlistener_new_bind(
+			base, on_accept, listen_ctx,
+			LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
+			(struct sockaddr *)&addr, len);
+	if (!listener) {
+		g_set_error(error, CELL_ERROR, CELL_ERROR_ADDRESS,
+			    "cannot listen on %s: %s", address,
+			    g_strerror(errno));
+		g_free(listen_ctx);
+	}
+	return listener;
+}
--- /dev/null
+++ b/cell/lead.c
@@ -0,0 +1,466 @@
+#include "internal.h"
+
+#include <time.h>
+
+/*
+ * The leader's shell: it dials all registered processes, turns their frames
+ * into events of the scheduler, and carries out its effects.
+ */
+
+/** Between attempts to reach a process. */
+#define DIAL_MS 300
+#define DIAL_MAX_MS 2000
+
+/** A process that cannot be reached for so long is forgotten. */
+#define FORGET_MS 40000
+
+/** Lease of workers: bridges the election of a new leader. */
+#define WORKER_LEASE_MS 7000
+
+/** Leases are extended so long without proof of leadership. */
+#define AUTHORITY_MS 6000
+
+/** Operations that a transaction's conditions and commit key take. */
+#define CONDITION_OPS 3
+
+/** A job's state is kept for 120 s at least, which callers may count on. */
+#define RETENTION_MS 180000
+
+struct node {
+	struct cell_lead *lead;
+	char *name;
+	enum cell_role role;
+	char *address;
+	struct cell_conn *conn;
+	gboolean connected;
+	gint64 dial_ms;
+	gint64 dial_wait_ms;
+	gint64 reached_ms;
+	gint64 beat_ms;
+};
+
+/** A call of a caller: of this process, or of another over its connection. */
+struct open_call {
+	cell_reply_fn fn;
+	void *ctx;
+	char *node;
+	guint64 call_id;
+};
+
+struct cell_lead {
+	struct cell_lead_options options;
+	struct sch *sch;
+	/** name to struct node. */
+	GHashTable *nodes;
+	/** call_ref to struct open_call. */
+	GHashTable *calls;
+	guint64 next_ref;
+	gboolean has_tables;
+	/** Effects are carried out after the event, not within it. */
+	GArray *effects;
+	gboolean reducing;
+};
+
+static gint64 unix_ms(void)
+{
+	return g_get_real_time() / 1000;
+}
+
+static void drop_conn(struct node *node)
+{
+	if (node->conn)
+		cell_conn_close(node->conn);
+	node->conn = NULL;
+	node->connected = FALSE;
+}
+
+static void free_node(gpointer data)
+{
+	struct node *node = data;
+
+	drop_conn(node);
+	g_free(node->name);
+	g_free(node->address);
+	g_free(node);
+}
+
+static void free_call(gpointer data)
+{
+	struct open_call *call = data;
+
+	g_free(call->node);
+	g_free(call);
+}
+
+static void answer(struct cell_lead *lead, guint64 ref,
+		   const struct Rp__StepReply *reply)
+{
+	struct open_call *call = g_hash_table_lookup(lead->calls, &ref);
+	struct node *node;
+	struct Rp__Frame *frame;
+
+	if (!call)
+		return;
+	if (call->fn) {
+		call->fn(call->ctx, reply);
+	} else {
+		node = g_hash_table_lookup(lead->nodes, call->node);
+		if (node && node->connected) {
+			frame = wire_frame_new(RP__FRAME__BODY_STEP_REPLY);
+			frame->step_reply->call_id = call->call_id;
+			frame->step_reply->status = reply->status;
+			frame->step_reply->state = reply->state;
+			frame->step_reply->waiting = reply->waiting;
+			frame->step_reply->retry_after_s =
+				reply->retry_after_s;
+			cell_conn_send(node->conn, frame);
+			wire_frame_free(frame);
+		}
+	}
+	g_hash_table_remove(lead->calls, &ref);
+}
+
+static void carry_out(struct cell_lead *lead, struct sch_effect *effect)
+{
+	struct node *node;
+
+	switch (effect->kind) {
+	case SCH_EFFECT_REPLY:
+		answer(lead, effect->call_ref, &effect->reply);
+		break;
+	case SCH_EFFECT_ORDERS:
+		node = g_hash_table_lookup(lead->nodes, effect->vm);
+		if (node && node->connected)
+			cell_conn_send(node->conn, effect->frame);
+		break;
+	case SCH_EFFECT_COMMIT:
+		cell_store_commit(lead->options.store,
+				  g_steal_pointer(&effect->txn));
+		break;
+	}
+}
+
+static void reduce(struct cell_lead *lead, struct sch_event *ev)
+{
+	guint i;
+
+	ev->now_ms = cell_now_ms();
+	ev->unix_ms = unix_ms();
+	sch_reduce(lead->sch, ev, lead->effects);
+	if (lead->reducing)
+		return;
+	lead->reducing = TRUE;
+	/* An effect may cause an event, whose effects come at the end. */
+	for (i = 0; i < lead->effects->len; i++) {
+		struct sch_effect effect =
+			g_array_index(lead->effects, struct sch_effect, i);
+
+		carry_out(lead, &effect);
+		sch_effect_clear(&effect);
+	}
+	g_array_set_size(lead->effects, 0);
+	lead->reducing = FALSE;
+}
+
+static void greet(struct node *node)
+{
+	struct Rp__Frame *frame = wire_frame_new(RP__FRAME__BODY_LEADER_HELLO);
+
+	frame->leader_hello->fence = node->lead->options.fence;
+	wire_set_string(&frame->leader_hello->entry, node->lead->options.name);
+	cell_conn_send(node->conn, frame);
+	wire_frame_free(frame);
+}
+
+static void on_connect(void *ctx, struct cell_conn *conn G_GNUC_UNUSED)
+{
+	struct node *node = ctx;
+	struct sch_event ev = { .kind = SCH_EVENT_VM_UP, .vm = node->name };
+
+	node->connected = TRUE;
+	node->dial_wait_ms = DIAL_MS;
+	node->reached_ms = cell_now_ms();
+	g_info("reached %s at %s", node->name, node->address);
+	greet(node);
+	if (node->role == CELL_ROLE_AGENT)
+		reduce(node->lead, &ev);
+}
+
+static void lost(struct node *node, const char *why)
+{
+	struct sch_event ev = { .kind = SCH_EVENT_VM_DOWN, .vm = node->name };
+	gboolean was_connected = node->connected;
+
+	node->connected = FALSE;
+	node->conn = NULL;
+	node->dial_ms = cell_now_ms() + node->dial_wait_ms;
+	node->dial_wait_ms = MIN(node->dial_wait_ms * 2, DIAL_MAX_MS);
+	if (!was_connected)
+		return;
+	g_message("lost %s at %s: %s", node->name, node->address, why);
+	if (node->role == CELL_ROLE_AGENT)
+		reduce(node->lead, &ev);
+}
+
+static void on_close(void *ctx, struct cell_conn *conn G_GNUC_UNUSED,
+		     const char *why)
+{
+	lost(ctx, why);
+}
+
+static guint64 *ref_new(struct cell_lead *lead)
+{
+	guint64 *ref = g_new(guint64, 1);
+
+	*ref = lead->next_ref++;
+	return ref;
+}
+
+static void take_call(struct cell_lead *lead, const struct Rp__StepCall *call,
+		      struct open_call *open)
+{
+	guint64 *ref = ref_new(lead);
+	struct sch_event ev = {
+		.kind = SCH_EVENT_CALL,
+		.call = call,
+		.call_ref = *ref,
+	};
+
+	g_hash_table_insert(lead->calls, ref, open);
+	reduce(lead, &ev);
+}
+
+static void on_frame(void *ctx, struct cell_conn *conn G_GNUC_UNUSED,
+		     const struct Rp__Frame *frame)
+{
+	struct node *node = ctx;
+	struct open_call *open;
+	struct sch_event ev = { .kind = SCH_EVENT_REPORT, .vm = node->name };
+
+	node->reached_ms = cell_now_ms();
+	switch (frame->body_case) {
+	case RP__FRAME__BODY_VM_REPORT:
+		ev.report = frame->vm_report;
+		if (node->role == CELL_ROLE_AGENT)
+			reduce(node->lead, &ev);
+		break;
+	case RP__FRAME__BODY_STEP_CALL:
+		open = g_new0(struct open_call, 1);
+		open->node = g_strdup(node->name);
+		open->call_id = frame->step_call->call_id;
+		take_call(node->lead, frame->step_call, open);
+		break;
+	default:
+		break;
+	}
+}
+
+static const struct cell_conn_handler handler = {
+	.on_frame = on_frame,
+	.on_close = on_close,
+	.on_connect = on_connect,
+};
+
+struct cell_lead *cell_lead_new(const struct cell_lead_options *options)
+{
+	struct cell_lead *lead = g_new0(struct cell_lead, 1);
+	struct sch_options sch_options = {
+		.fence = options->fence,
+		.lease_ms = WORKER_LEASE_MS,
+		.authority_ms = AUTHORITY_MS,
+		.max_ops = options->max_txn_ops - CONDITION_OPS,
+		.retention_ms = RETENTION_MS,
+	};
+
+	lead->options = *options;
+	lead->sch = sch_new(&sch_options, cell_now_ms());
+	lead->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					    free_node);
+	lead->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					    free_call);
+	lead->effects = g_array_new(FALSE, FALSE, sizeof(struct sch_effect));
+	lead->next_ref = 1;
+	return lead;
+}
+
+void cell_lead_free(struct cell_lead *lead)
+{
+	struct sch_event ev = { .kind = SCH_EVENT_DEPOSED };
+	static const struct Rp__StepReply unknown = {
+		PROTOBUF_C_MESSAGE_INIT(&rp__step_reply__descriptor),
+		.status = 503,
+		.retry_after_s = 1,
+	};
+	GHashTableIter iter;
+	gpointer value;
+
+	reduce(lead, &ev);
+	/* Questions that wait for nothing durable. */
+	g_hash_table_iter_init(&iter, lead->calls);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct open_call *call = value;
+
+		if (call->fn)
+			call->fn(call->ctx, &unknown);
+	}
+	g_hash_table_unref(lead->nodes);
+	g_hash_table_unref(lead->calls);
+	g_array_unref(lead->effects);
+	sch_free(lead->sch);
+	g_free(lead);
+}
+
+void cell_lead_record(struct cell_lead *lead, const char *key, GBytes *value)
+{
+	gsize len;
+	const void *data = g_bytes_get_data(value, &len);
+	int result;
+
+	if (g_str_has_prefix(key, SCH_JOB_PREFIX))
+		result = sch_load_job(lead->sch, key + strlen(SCH_JOB_PREFIX),
+				      data, len);
+	else
+		result = sch_load_progress(lead->sch,
+					   key + strlen(SCH_PROGRESS_PREFIX),
+					   data, len, unix_ms());
+	if (result < 0)
+		g_critical("record %s of %zu bytes is not valid; it is left "
+			   "out", key, len);
+}
+
+void cell_lead_tables(struct cell_lead *lead, GPtrArray *queues)
+{
+	struct sch_event ev = { .kind = SCH_EVENT_TABLES, .queues = queues };
+
+	lead->has_tables = TRUE;
+	reduce(lead, &ev);
+}
+
+gboolean cell_lead_has_tables(const struct cell_lead *lead)
+{
+	return lead->has_tables;
+}
+
+void cell_lead_node(struct cell_lead *lead, const char *name, GBytes *value)
+{
+	struct node *node = g_hash_table_lookup(lead->nodes, name);
+	enum cell_role role;
+	char *address;
+
+	if (!strcmp(name, lead->options.name) || !value)
+		return;
+	if (cell_register_parse(value, &role, &address) < 0) {
+		g_warning("address of %s is not valid; it is left out", name);
+		return;
+	}
+	if (node && !strcmp(node->address, address)) {
+		g_free(address);
+		return;
+	}
+	if (node) {
+		g_free(node->address);
+		if (node->conn) {
+			struct cell_conn *conn = node->conn;
+
+			lost(node, "another address");
+			cell_conn_close(conn);
+		}
+	} else {
+		node = g_new0(struct node, 1);
+		node->lead = lead;
+		node->name = g_strdup(name);
+		g_hash_table_insert(lead->nodes, node->name, node);
+	}
+	node->role = role;
+	node->address = address;
+	node->dial_ms = 0;
+	node->dial_wait_ms = DIAL_MS;
+	node->reached_ms = cell_now_ms();
+}
+
+void cell_lead_proof(struct cell_lead *lead, gint64 sent_ms)
+{
+	struct sch_event ev = { .kind = SCH_EVENT_PROOF, .proved_ms = sent_ms };
+
+	reduce(lead, &ev);
+}
+
+void cell_lead_committed(struct cell_lead *lead)
+{
+	struct sch_event ev = { .kind = SCH_EVENT_COMMITTED };
+
+	reduce(lead, &ev);
+}
+
+static void beat(struct node *node, gint64 now_ms)
+{
+	struct Rp__Frame *frame;
+
+	/* Agents get orders, which serve as beats. */
+	if (node->role != CELL_ROLE_ENTRY ||
+	    now_ms < node->beat_ms + CELL_BEAT_MS)
+		return;
+	node->beat_ms = now_ms;
+	frame = wire_frame_new(RP__FRAME__BODY_NODE_BEAT);
+	frame->node_beat->fence = node->lead->options.fence;
+	cell_conn_send(node->conn, frame);
+	wire_frame_free(frame);
+}
+
+/* Returns FALSE if the process is forgotten. */
+static gboolean tend_node(struct node *node, gint64 now_ms)
+{
+	if (node->connected) {
+		if (now_ms >= cell_conn_heard_ms(node->conn) + CELL_SILENT_MS) {
+			struct cell_conn *conn = node->conn;
+
+			lost(node, "silent");
+			cell_conn_close(conn);
+		} else {
+			beat(node, now_ms);
+		}
+		return TRUE;
+	}
+	if (now_ms >= node->reached_ms + FORGET_MS)
+		return FALSE;
+	if (node->conn || now_ms < node->dial_ms)
+		return TRUE;
+	node->conn = cell_conn_dial(node->lead->options.base, node->address,
+				    &handler, node);
+	if (!node->conn) {
+		g_info("cannot dial %s at %s", node->name, node->address);
+		node->dial_ms = now_ms + DIAL_MAX_MS;
+	}
+	return TRUE;
+}
+
+void cell_lead_tick(struct cell_lead *lead)
+{
+	struct sch_event ev = { .kind = SCH_EVENT_TICK };
+	gint64 now_ms = cell_now_ms();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, lead->nodes);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct node *node = value;
+
+		if (tend_node(node, now_ms))
+			continue;
+		g_message("%s has not been reached for %d ms; forgotten",
+			  node->name, FORGET_MS);
+		cell_store_remove_node(lead->options.store, node->name);
+		g_hash_table_iter_remove(&iter);
+	}
+	reduce(lead, &ev);
+}
+
+void cell_lead_call(struct cell_lead *lead, const struct Rp__StepCall *call,
+		    cell_reply_fn fn, void *ctx)
+{
+	struct open_call *open = g_new0(struct open_call, 1);
+
+	open->fn = fn;
+	open->ctx = ctx;
+	take_call(lead, call, open);
+}
--- a/obs/obs.c
+++ b/obs/obs.c
@@ -1,5 +1,6 @@
 #include "obs.h"
 
+#include <fcntl.h>
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
@@ -7,6 +8,12 @@
 static const char *log_program = "radishpier";
 static GLogLevelFlags log_threshold = G_LOG_LEVEL_INFO;
 
+/* Limits of obs_log_to_stdout(); 0 lines: standard error without a limit. */
+static unsigned log_lines_per_s;
+static gint64 log_second;
+static unsigned log_lines;
+static guint64 log_left_out;
+
 /* Log fields that are copied to the line, with their names there. */
 static const struct {
 	const char *field;
@@ -69,6 +76,44 @@
 	return "info";
 }
 
+static gboolean write_stdout(const GString *line)
+{
+	ssize_t written = write(STDOUT_FILENO, line->str, line->len);
+
+	return written == (ssize_t)line->len;
+}
+
+static void write_bounded(const GString *line)
+{
+	gint64 second = g_get_monotonic_time() / G_USEC_PER_SEC;
+	g_autoptr(GString) note = NULL;
+
+	if (second != log_second) {
+		log_second = second;
+		log_lines = 0;
+	}
+	if (log_lines >= log_lines_per_s) {
+		log_left_out++;
+		return;
+	}
+	log_lines++;
+	if (log_left_out) {
+		note = g_string_new(NULL);
+		g_string_append_printf(note,
+				       "{\"level\":\"warning\",\"program\":\"%s\","
+				       "\"message\":\"%" G_GUINT64_FORMAT
+				       " lines left out\"}\n",
+				       log_program, log_left_out);
+		if (!write_stdout(note)) {
+			log_left_out++;
+			return;
+		}
+		log_left_out = 0;
+	}
+	if (!write_stdout(line))
+		log_left_out++;
+}
+
 static GLogWriterOutput write_json(GLogLevelFlags level,
 				   const GLogField *fields, gsize n,
 				   gpointer data G_GNUC_UNUSED)
@@ -91,7 +136,10 @@
 	for (i = 0; i < n; i++)
 		append_field(line, &fields[i]);
 	g_string_append(line, "}\n");
-	fwrite(line->str, 1, line->len, stderr);
+	if (log_lines_per_s)
+		write_bounded(line);
+	else
+		fwrite(line->str, 1, line->len, stderr);
 	return G_LOG_WRITER_HANDLED;
 }
 
@@ -102,6 +150,15 @@
 	g_log_set_writer_func(write_json, NULL, NULL);
 }
 
+void obs_log_to_stdout(unsigned lines_per_s)
+{
+	int flags = fcntl(STDOUT_FILENO, F_GETFL);
+
+	log_lines_per_s = lines_per_s;
+	if (flags >= 0)
+		fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+}
+
 int obs_log_level_parse(const char *name, GLogLevelFlags *level)
 {
 	size_t i;
--- a/obs/obs.h
+++ b/obs/obs.h
@@ -12,6 +12,13 @@
  */
 void obs_log_init(const char *program, GLogLevelFlags most_verbose);
 
+/**
+ * Sends the lines to standard output instead, without ever waiting for its
+ * reader. Beyond lines_per_s, and while the reader is behind, lines are left
+ * out; the next line that is written is preceded by their count.
+ */
+void obs_log_to_stdout(unsigned lines_per_s);
+
 /** Parses "error", "warning", "info" or "debug"; returns -1 if unknown. */
 int obs_log_level_parse(const char *name, GLogLevelFlags *level);
 
--- a/radishpier-agent/main.c
+++ b/radishpier-agent/main.c
@@ -1,9 +1,13 @@
 #include "shell.h"
 
 #include <argtable2.h>
+#include <signal.h>
 #include <stdio.h>
 
 #include "../radishpier/radishpier.h"
+#ifdef RADISHPIER_PLATFORM
+#include "../platform/platform.h"
+#endif
 
 #define PROGRAM "radishpier-agent"
 
@@ -49,14 +53,19 @@
 					      "settings of the agent");
 	struct arg_lit *check = arg_lit0(NULL, "check-settings",
 					 "check the settings and exit");
+	struct arg_lit *platform =
+		arg_lit0(NULL, "platform",
+			 "run on the users' platform, with its settings file");
 	struct arg_lit *help = arg_lit0(NULL, "help", "print this text");
 	struct arg_lit *version = arg_lit0(NULL, "version",
 					   "print the version");
 	struct arg_end *end = arg_end(8);
-	void *table[] = { settings, check, help, version, end };
+	void *table[] = { settings, check, platform, help, version, end };
 	int code = EXIT_CODE_OK;
 	int errors = arg_parse(argc, argv, table);
 
+	/* A write to a closed connection is an error of that write. */
+	signal(SIGPIPE, SIG_IGN);
 	if (help->count) {
 		fputs("usage: " PROGRAM, stdout);
 		arg_print_syntaxv(stdout, table, "\n");
@@ -64,6 +73,10 @@
 		fputs(exit_codes, stdout);
 	} else if (version->count) {
 		puts(PROGRAM " " RADISHPIER_VERSION);
+#ifdef RADISHPIER_PLATFORM
+	} else if (platform->count && !settings->count) {
+		code = plt_agent_run();
+#endif
 	} else if (errors) {
 		arg_print_errors(stderr, end, PROGRAM);
 		code = EXIT_CODE_USAGE;
--- a/radishpier/main.c
+++ b/radishpier/main.c
@@ -5,6 +5,9 @@
 #include <string.h>
 
 #include "../obs/obs.h"
+#ifdef RADISHPIER_PLATFORM
+#include "../platform/platform.h"
+#endif
 #include "cli.h"
 
 #define MAX_ENDPOINTS 8
@@ -17,6 +20,10 @@
 	"\n"
 	"commands:\n"
 	"  serve    run an entry until SIGTERM or SIGINT\n"
+#ifdef RADISHPIER_PLATFORM
+	"  serve-platform\n"
+	"           run an entry on the users' platform, with its settings\n"
+#endif
 	"  check    check routes and pools without any effect\n"
 	"  apply    put routes and pools in force\n"
 	"  show     print the tables in force as JSON\n"
@@ -93,6 +100,13 @@
 	return code;
 }
 
+#ifdef RADISHPIER_PLATFORM
+static int run_serve_platform(const struct options *opt G_GNUC_UNUSED)
+{
+	return plt_entry_run();
+}
+#endif
+
 static int run_check(const struct options *opt)
 {
 	return cli_check(opt->routes->filename[0], opt->pools->filename[0]);
@@ -147,6 +161,9 @@
 } commands[] = {
 	{ "serve", run_serve, NULL,
 	  1 << OPT_SETTINGS | 1 << OPT_CHECK_SETTINGS },
+#ifdef RADISHPIER_PLATFORM
+	{ "serve-platform", run_serve_platform, NULL, 0 },
+#endif
 	{ "check", run_check, NULL, 1 << OPT_ROUTES | 1 << OPT_POOLS },
 	{ "apply", NULL, run_apply,
 	  1 << OPT_ROUTES | 1 << OPT_POOLS | 1 << OPT_AUTHOR | 1 << OPT_EXPECT |
--- /dev/null
+++ b/runs/internal.h
@@ -0,0 +1,116 @@
+#ifndef RUNS_INTERNAL_H
+#define RUNS_INTERNAL_H
+
+#include <string.h>
+
+#include "runs.h"
+
+enum runs_phase {
+	RUNS_PHASE_START,
+	/** The run must not start, or must end. */
+	RUNS_PHASE_STOP,
+	/** The stop was answered; the next lists show what is left. */
+	RUNS_PHASE_CHECK,
+};
+
+/** An order that has no certain outcome yet. */
+struct runs_order {
+	char *task;
+	guint32 attempt;
+	enum runs_phase phase;
+	GBytes *payload;
+	char *checkpoint;
+	char *ticket;
+	/** A start without answer may still take effect. */
+	gboolean uncertain;
+	/** Why a start is being undone, for the report. */
+	const char *reason;
+	guint tries;
+	/** The call under way, and whether it is a stop. */
+	guint64 call_id;
+	gboolean stop_sent;
+	gint64 next_ms;
+	/** Holds that were issued before this call id prove nothing. */
+	guint64 checked_after;
+};
+
+/** What is known of a task that the worker runs or is told to run. */
+struct runs_info {
+	guint32 attempt;
+	guint32 target_ms;
+	gboolean fills;
+	/** Share that it was last told, and when. */
+	guint percent;
+	gint64 paced_ms;
+	guint64 pace_call;
+};
+
+struct runs {
+	gint64 now_ms;
+	struct Rp__WorkerInfo *worker;
+	guint64 fence;
+	gboolean has_leader;
+	gint64 lease_until_ms;
+	guint64 ended_through;
+	gint64 clock_ms;
+	/** When the worker last answered a call. */
+	gint64 answered_ms;
+	guint64 next_call;
+	guint64 hold_call;
+	guint64 hold_fence;
+	gint64 hold_ms;
+	gint64 next_hold_ms;
+	guint holds_lost;
+	/** Highest end that this leader was told. */
+	guint64 reported_end;
+	gint64 listed_ms;
+	gint64 reported_ms;
+	gboolean report_due;
+	/** Rp__RunRow, of the last lists. */
+	GPtrArray *running;
+	/** Rp__RunEnd that the leader was not told. */
+	GPtrArray *ended;
+	/** Rp__RunAnswer that the leader was not told. */
+	GPtrArray *answers;
+	gboolean lists_due;
+	/** Lists were read under the leader's fence. */
+	gboolean lists_valid;
+	GPtrArray *orders;
+	guint orders_in_flight;
+	/** Task's name to struct runs_info. */
+	GHashTable *infos;
+	/** Share of the tasks that fill, and the state of its control. */
+	guint fill_percent;
+	guint over;
+	gint64 pace_ms;
+	GArray *effects;
+};
+
+/* runs.c */
+/** Returns a deep copy. */
+gpointer runs_copy_message(const ProtobufCMessage *message);
+struct runs_call *runs_call_new(struct runs *r, enum runs_call_kind kind,
+				gint64 timeout_ms);
+void runs_call_send(struct runs *r, struct runs_call *call);
+void runs_answer_add(struct runs *r, const char *task, guint32 attempt,
+		     gboolean started, const char *reason);
+
+/* orders.c */
+void runs_order_free(gpointer order);
+void runs_orders_take(struct runs *r, const struct Rp__VmOrders *orders);
+void runs_orders_send(struct runs *r);
+/** Returns FALSE if the answer is not that of an order. */
+gboolean runs_orders_answer(struct runs *r, const struct runs_answer *answer);
+/** Looks for the outcomes of orders in the lists of a hold. */
+void runs_orders_check(struct runs *r, const struct runs_answer *answer,
+		       guint64 hold_call);
+
+/* hold.c */
+void runs_hold_send(struct runs *r);
+gboolean runs_hold_answer(struct runs *r, const struct runs_answer *answer);
+
+/* pace.c */
+void runs_pace(struct runs *r);
+void runs_pace_answer(struct runs *r, const struct runs_answer *answer);
+
+#endif
--- /dev/null
+++ b/runs/orders.c
@@ -0,0 +1,302 @@
+#include "internal.h"
+
+/*
+ * Orders to start and stop. A call that gets no answer may take effect seconds
+ * later, so an order ends only with a certain outcome: the run is listed, the
+ * worker has refused it, or the worker has answered a stop, after which it
+ * refuses the run for good.
+ */
+
+/** Calls under way at a time, holds excluded. */
+#define MAX_IN_FLIGHT 6
+
+#define START_TIMEOUT_MS 350
+#define STOP_TIMEOUT_MS 350
+
+/** Starts without answer after which the run is undone. */
+#define START_TRIES 3
+
+/** Between stops without answer. */
+#define STOP_RETRY_MS 150
+
+void runs_order_free(gpointer data)
+{
+	struct runs_order *order = data;
+
+	if (order->payload)
+		g_bytes_unref(order->payload);
+	g_free(order->task);
+	g_free(order->checkpoint);
+	g_free(order->ticket);
+	g_free(order);
+}
+
+static struct runs_order *find_order(struct runs *r, const char *task,
+				     guint32 attempt)
+{
+	guint i;
+
+	for (i = 0; i < r->orders->len; i++) {
+		struct runs_order *order = r->orders->pdata[i];
+
+		if (order->attempt == attempt && !strcmp(order->task, task))
+			return order;
+	}
+	return NULL;
+}
+
+static gboolean is_running(const struct runs *r, const char *task,
+			   guint32 attempt)
+{
+	guint i;
+
+	for (i = 0; i < r->running->len; i++) {
+		const struct Rp__RunRow *row = r->running->pdata[i];
+
+		if (row->run->attempt == attempt &&
+		    !strcmp(row->run->task, task))
+			return TRUE;
+	}
+	return FALSE;
+}
+
+static struct runs_order *add_order(struct runs *r,
+				    const struct Rp__RunName *run,
+				    enum runs_phase phase)
+{
+	struct runs_order *order = g_new0(struct runs_order, 1);
+
+	order->task = g_strdup(run->task);
+	order->attempt = run->attempt;
+	order->phase = phase;
+	g_ptr_array_add(r->orders, order);
+	return order;
+}
+
+static void note_info(struct runs *r, const struct Rp__RunStart *start)
+{
+	struct runs_info *info = g_hash_table_lookup(r->infos,
+						     start->run->task);
+
+	if (!info) {
+		info = g_new0(struct runs_info, 1);
+		info->percent = 100;
+		g_hash_table_insert(r->infos, g_strdup(start->run->task), info);
+	}
+	if (info->attempt != start->run->attempt)
+		info->percent = 100;
+	info->attempt = start->run->attempt;
+	info->target_ms = start->target_ms;
+	info->fills = start->fills;
+}
+
+static void take_start(struct runs *r, const struct Rp__RunStart *start)
+{
+	struct runs_order *order;
+
+	if (!start->run || find_order(r, start->run->task, start->run->attempt))
+		return;
+	note_info(r, start);
+	if (is_running(r, start->run->task, start->run->attempt)) {
+		runs_answer_add(r, start->run->task, start->run->attempt, TRUE,
+				NULL);
+		return;
+	}
+	if (r->worker->draining) {
+		/* An earlier agent may have sent it: make sure it never runs. */
+		order = add_order(r, start->run, RUNS_PHASE_STOP);
+		order->reason = "draining";
+		return;
+	}
+	order = add_order(r, start->run, RUNS_PHASE_START);
+	order->payload = g_bytes_new(start->payload.data, start->payload.len);
+	order->checkpoint = g_strdup(start->checkpoint);
+	order->ticket = g_strdup(start->ticket);
+}
+
+static void take_stop(struct runs *r, const struct Rp__RunName *run)
+{
+	struct runs_order *order = find_order(r, run->task, run->attempt);
+
+	if (!order) {
+		add_order(r, run, RUNS_PHASE_STOP)->reason = "stopped";
+		return;
+	}
+	if (order->phase != RUNS_PHASE_START)
+		return;
+	order->phase = RUNS_PHASE_STOP;
+	order->reason = "stopped";
+	order->next_ms = 0;
+}
+
+void runs_orders_take(struct runs *r, const struct Rp__VmOrders *orders)
+{
+	size_t i;
+
+	for (i = 0; i < orders->n_starts; i++)
+		take_start(r, orders->starts[i]);
+	for (i = 0; i < orders->n_stops; i++)
+		take_stop(r, orders->stops[i]);
+}
+
+static void send_order(struct runs *r, struct runs_order *order)
+{
+	gboolean start = order->phase == RUNS_PHASE_START;
+	struct runs_call *call =
+		runs_call_new(r, start ? RUNS_CALL_START : RUNS_CALL_STOP,
+			      start ? START_TIMEOUT_MS : STOP_TIMEOUT_MS);
+
+	call->task = g_strdup(order->task);
+	call->attempt = order->attempt;
+	if (start) {
+		call->payload = g_bytes_ref(order->payload);
+		call->checkpoint = g_strdup(order->checkpoint);
+		call->ticket = g_strdup(order->ticket);
+	}
+	order->call_id = call->id;
+	order->stop_sent = !start;
+	r->orders_in_flight++;
+	runs_call_send(r, call);
+}
+
+void runs_orders_send(struct runs *r)
+{
+	guint i;
+
+	for (i = 0; i < r->orders->len && r->orders_in_flight < MAX_IN_FLIGHT;
+	     i++) {
+		struct runs_order *order = r->orders->pdata[i];
+
+		if (order->call_id || order->phase == RUNS_PHASE_CHECK ||
+		    r->now_ms < order->next_ms)
+			continue;
+		/* Without a lease the worker would end the run at once. */
+		if (order->phase == RUNS_PHASE_START && !r->lease_until_ms)
+			continue;
+		if (order->phase == RUNS_PHASE_START && r->worker->draining) {
+			order->phase = RUNS_PHASE_STOP;
+			order->reason = "draining";
+		}
+		send_order(r, order);
+	}
+}
+
+static void undo(struct runs_order *order, const char *reason)
+{
+	order->phase = RUNS_PHASE_STOP;
+	order->reason = reason;
+	order->tries = 0;
+	order->next_ms = 0;
+}
+
+/* Reasons outlive the answer that names them. */
+static const char *intern_reason(const char *reason)
+{
+	return reason ? g_intern_string(reason) : "refused";
+}
+
+static void end_start(struct runs *r, struct runs_order *order,
+		      const struct runs_answer *answer)
+{
+	const char *reason = answer->outcome == RUNS_BUSY
+				     ? "busy"
+				     : answer->outcome == RUNS_OTHER_WORKER
+					       ? "other worker"
+					       : intern_reason(answer->reason);
+
+	if (answer->outcome == RUNS_LOST) {
+		order->uncertain = TRUE;
+		if (++order->tries >= START_TRIES)
+			undo(order, "unanswered");
+		return;
+	}
+	if (answer->outcome != RUNS_OK && order->uncertain &&
+	    strcmp(reason, "old")) {
+		undo(order, reason);
+		return;
+	}
+	runs_answer_add(r, order->task, order->attempt,
+			answer->outcome == RUNS_OK, reason);
+	g_ptr_array_remove(r->orders, order);
+}
+
+static void end_stop(struct runs *r, struct runs_order *order,
+		     const struct runs_answer *answer)
+{
+	if (answer->outcome == RUNS_OK) {
+		order->phase = RUNS_PHASE_CHECK;
+		order->checked_after = r->next_call;
+		return;
+	}
+	order->next_ms = r->now_ms + STOP_RETRY_MS;
+}
+
+gboolean runs_orders_answer(struct runs *r, const struct runs_answer *answer)
+{
+	guint i;
+
+	for (i = 0; i < r->orders->len; i++) {
+		struct runs_order *order = r->orders->pdata[i];
+
+		if (order->call_id != answer->call_id)
+			continue;
+		order->call_id = 0;
+		r->orders_in_flight--;
+		if (answer->outcome == RUNS_OK)
+			r->answered_ms = r->now_ms;
+		/* A stop may have come while the start was under way. */
+		if (order->phase == RUNS_PHASE_START)
+			end_start(r, order, answer);
+		else if (order->stop_sent)
+			end_stop(r, order, answer);
+		return TRUE;
+	}
+	return FALSE;
+}
+
+static gboolean lists_run(const struct runs_answer *answer,
+			  const struct runs_order *order, gboolean *ended)
+{
+	size_t i;
+
+	*ended = FALSE;
+	for (i = 0; i < answer->n_running; i++)
+		if (answer->running[i]->run->attempt == order->attempt &&
+		    !strcmp(answer->running[i]->run->task, order->task))
+			return TRUE;
+	for (i = 0; i < answer->n_ended; i++)
+		if (answer->ended[i]->run->attempt == order->attempt &&
+		    !strcmp(answer->ended[i]->run->task, order->task))
+			*ended = TRUE;
+	return FALSE;
+}
+
+void runs_orders_check(struct runs *r, const struct runs_answer *answer,
+		       guint64 hold_call)
+{
+	guint i = 0;
+
+	while (i < r->orders->len) {
+		struct runs_order *order = r->orders->pdata[i];
+		gboolean ended;
+		gboolean running = lists_run(answer, order, &ended);
+
+		if (order->phase == RUNS_PHASE_START && running &&
+		    !order->call_id) {
+			runs_answer_add(r, order->task, order->attempt, TRUE,
+					NULL);
+			g_ptr_array_remove_index(r->orders, i);
+			continue;
+		}
+		if (order->phase != RUNS_PHASE_CHECK || running ||
+		    hold_call < order->checked_after) {
+			i++;
+			continue;
+		}
+		/* An end that is listed tells more than this answer. */
+		if (!ended)
+			runs_answer_add(r, order->task, order->attempt, FALSE,
+					order->reason);
+		g_ptr_array_remove_index(r->orders, i);
+	}
+}
--- /dev/null
+++ b/runs/runs.c
@@ -0,0 +1,309 @@
+#include "internal.h"
+
+/* The reducer, the worker's lives and the reports to the leader. */
+
+/** A report is sent at least so often, so that the leader sees the VM. */
+#define REPORT_INTERVAL_MS 1000
+
+/** The whole lists are sent at most so often. */
+#define LISTS_INTERVAL_MS 500
+
+struct runs *runs_new(void)
+{
+	struct runs *r = g_new0(struct runs, 1);
+
+	r->next_call = 1;
+	r->fill_percent = 100;
+	r->running = g_ptr_array_new();
+	r->ended = g_ptr_array_new();
+	r->answers = g_ptr_array_new();
+	r->orders = g_ptr_array_new_with_free_func(runs_order_free);
+	r->infos = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					 g_free);
+	return r;
+}
+
+static void free_message(gpointer message)
+{
+	protobuf_c_message_free_unpacked(message, NULL);
+}
+
+static void clear_messages(GPtrArray *messages)
+{
+	g_ptr_array_foreach(messages, (GFunc)(void (*)(void))free_message,
+			    NULL);
+	g_ptr_array_set_size(messages, 0);
+}
+
+static void free_messages(GPtrArray *messages)
+{
+	clear_messages(messages);
+	g_ptr_array_unref(messages);
+}
+
+void runs_free(struct runs *r)
+{
+	free_messages(r->running);
+	free_messages(r->ended);
+	free_messages(r->answers);
+	g_ptr_array_unref(r->orders);
+	g_hash_table_unref(r->infos);
+	if (r->worker)
+		rp__worker_info__free_unpacked(r->worker, NULL);
+	g_free(r);
+}
+
+struct runs_call *runs_call_new(struct runs *r, enum runs_call_kind kind,
+				gint64 timeout_ms)
+{
+	struct runs_call *call = g_new0(struct runs_call, 1);
+
+	call->id = r->next_call++;
+	call->kind = kind;
+	call->fence = r->fence;
+	call->worker_id = g_strdup(r->worker->worker_id);
+	call->timeout_ms = timeout_ms;
+	call->lease_until_ms = r->lease_until_ms;
+	return call;
+}
+
+void runs_call_free(struct runs_call *call)
+{
+	if (!call)
+		return;
+	if (call->payload)
+		g_bytes_unref(call->payload);
+	g_free(call->worker_id);
+	g_free(call->task);
+	g_free(call->checkpoint);
+	g_free(call->ticket);
+	g_free(call);
+}
+
+void runs_call_send(struct runs *r, struct runs_call *call)
+{
+	struct runs_effect effect = { .kind = RUNS_EFFECT_CALL, .call = call };
+
+	g_array_append_val(r->effects, effect);
+}
+
+void runs_effect_clear(struct runs_effect *effect)
+{
+	runs_call_free(effect->call);
+	wire_frame_free(effect->frame);
+}
+
+gpointer runs_copy_message(const ProtobufCMessage *message)
+{
+	size_t len = protobuf_c_message_get_packed_size(message);
+	g_autofree uint8_t *data = g_malloc(len);
+
+	protobuf_c_message_pack(message, data);
+	return protobuf_c_message_unpack(message->descriptor, NULL, len, data);
+}
+
+static struct Rp__RunName *name_new(const char *task, guint32 attempt)
+{
+	struct Rp__RunName *name = g_malloc(sizeof(*name));
+
+	rp__run_name__init(name);
+	wire_set_string(&name->task, task);
+	name->attempt = attempt;
+	return name;
+}
+
+void runs_answer_add(struct runs *r, const char *task, guint32 attempt,
+		     gboolean started, const char *reason)
+{
+	struct Rp__RunAnswer *answer = g_malloc(sizeof(*answer));
+
+	rp__run_answer__init(answer);
+	answer->run = name_new(task, attempt);
+	answer->started = started;
+	wire_set_string(&answer->reason, reason);
+	g_ptr_array_add(r->answers, answer);
+	r->report_due = TRUE;
+}
+
+/* Nothing of an earlier life holds for the next one. */
+static void forget_life(struct runs *r)
+{
+	clear_messages(r->running);
+	clear_messages(r->ended);
+	clear_messages(r->answers);
+	g_ptr_array_set_size(r->orders, 0);
+	g_hash_table_remove_all(r->infos);
+	r->lease_until_ms = 0;
+	r->ended_through = 0;
+	r->reported_end = 0;
+	r->clock_ms = 0;
+	r->lists_valid = FALSE;
+	r->hold_call = 0;
+	r->holds_lost = 0;
+	r->next_hold_ms = 0;
+	r->fill_percent = 100;
+	r->orders_in_flight = 0;
+	r->answered_ms = r->now_ms;
+}
+
+static void take_worker(struct runs *r, const struct Rp__WorkerInfo *worker)
+{
+	gboolean same = r->worker && r->worker->born_ms == worker->born_ms &&
+			!strcmp(r->worker->worker_id, worker->worker_id);
+
+	if (r->worker && !same && worker->born_ms < r->worker->born_ms)
+		return;
+	if (same && (r->worker->gone || worker->sequence < r->worker->sequence))
+		return;
+	if (!same) {
+		g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "MESSAGE",
+				 "worker %s of pool %s lives here",
+				 worker->worker_id, worker->pool);
+		forget_life(r);
+	}
+	if (!same || worker->draining != r->worker->draining)
+		r->report_due = TRUE;
+	if (r->worker)
+		rp__worker_info__free_unpacked(r->worker, NULL);
+	r->worker = runs_copy_message(&worker->base);
+}
+
+static void worker_left(struct runs *r, const char *worker_id)
+{
+	if (!r->worker || strcmp(r->worker->worker_id, worker_id))
+		return;
+	g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "MESSAGE",
+			 "worker %s has left", worker_id);
+	r->worker->gone = TRUE;
+	r->report_due = TRUE;
+}
+
+gboolean runs_accepts(const struct runs *r, guint64 fence)
+{
+	return fence >= r->fence;
+}
+
+const struct Rp__WorkerInfo *runs_worker(const struct runs *r)
+{
+	return r->worker;
+}
+
+static void take_leader(struct runs *r, guint64 fence)
+{
+	/* A new leader orders again what it still wants. */
+	g_ptr_array_set_size(r->orders, 0);
+	r->orders_in_flight = 0;
+	clear_messages(r->answers);
+	clear_messages(r->ended);
+	r->has_leader = TRUE;
+	r->fence = fence;
+	r->reported_end = 0;
+	r->lists_valid = FALSE;
+	r->listed_ms = 0;
+	/* A hold under way was sent under the earlier fence. */
+	r->hold_call = 0;
+	r->next_hold_ms = 0;
+	r->report_due = TRUE;
+}
+
+static void take_orders(struct runs *r, const struct Rp__VmOrders *orders)
+{
+	if (orders->fence != r->fence || !r->worker || r->worker->gone ||
+	    strcmp(orders->worker_id, r->worker->worker_id) ||
+	    orders->worker_born_ms != r->worker->born_ms)
+		return;
+	r->lease_until_ms = MAX(r->lease_until_ms, orders->lease_until_ms);
+	r->ended_through = MAX(r->ended_through, orders->ended_through);
+	runs_orders_take(r, orders);
+}
+
+/* Moves the messages to the report. */
+static size_t take_messages(GPtrArray *messages, void ***list)
+{
+	size_t n = messages->len;
+
+	*list = n ? g_memdup2(messages->pdata, n * sizeof(void *)) : NULL;
+	g_ptr_array_set_size(messages, 0);
+	return n;
+}
+
+static void report(struct runs *r)
+{
+	struct runs_effect effect = {
+		.kind = RUNS_EFFECT_REPORT,
+		.frame = wire_frame_new(RP__FRAME__BODY_VM_REPORT),
+	};
+	struct Rp__VmReport *body = effect.frame->vm_report;
+
+	body->fence = r->fence;
+	if (r->worker) {
+		body->worker = runs_copy_message(&r->worker->base);
+		body->clock_ms = r->clock_ms;
+		body->silent_ms = (guint32)(r->now_ms - r->answered_ms);
+		body->n_ended =
+			take_messages(r->ended, (void ***)&body->ended);
+		body->n_answers =
+			take_messages(r->answers, (void ***)&body->answers);
+	}
+	if (r->lists_due && r->lists_valid) {
+		size_t i;
+
+		body->listed = TRUE;
+		body->n_running = r->running->len;
+		body->running = g_new0(struct Rp__RunRow *, r->running->len);
+		for (i = 0; i < r->running->len; i++)
+			body->running[i] =
+				runs_copy_message(r->running->pdata[i]);
+		r->listed_ms = r->now_ms;
+		r->lists_due = FALSE;
+	}
+	r->report_due = FALSE;
+	r->reported_ms = r->now_ms;
+	g_array_append_val(r->effects, effect);
+}
+
+static void dispatch(struct runs *r, const struct runs_event *ev)
+{
+	switch (ev->kind) {
+	case RUNS_EVENT_TICK:
+		break;
+	case RUNS_EVENT_WORKER:
+		take_worker(r, ev->worker);
+		break;
+	case RUNS_EVENT_WORKER_LEFT:
+		worker_left(r, ev->worker_id);
+		break;
+	case RUNS_EVENT_LEADER:
+		take_leader(r, ev->fence);
+		break;
+	case RUNS_EVENT_LEADER_LOST:
+		r->has_leader = FALSE;
+		break;
+	case RUNS_EVENT_ORDERS:
+		take_orders(r, ev->orders);
+		break;
+	case RUNS_EVENT_ANSWER:
+		if (!runs_hold_answer(r, ev->answer) &&
+		    !runs_orders_answer(r, ev->answer))
+			runs_pace_answer(r, ev->answer);
+		break;
+	}
+}
+
+void runs_reduce(struct runs *r, const struct runs_event *ev, GArray *effects)
+{
+	r->effects = effects;
+	r->now_ms = ev->now_ms;
+	dispatch(r, ev);
+	if (r->fence && r->worker && !r->worker->gone) {
+		runs_hold_send(r);
+		runs_orders_send(r);
+		runs_pace(r);
+	}
+	if (r->has_leader &&
+	    (r->report_due || r->now_ms >= r->reported_ms + REPORT_INTERVAL_MS ||
+	     (r->lists_due && r->lists_valid &&
+	      r->now_ms >= r->listed_ms + LISTS_INTERVAL_MS)))
+		report(r);
+	r->effects = NULL;
+}
--- /dev/null
+++ b/sched/call.c
@@ -0,0 +1,222 @@
+#include "internal.h"
+
+/* Callers' submissions, cancellations and questions. */
+
+#define STATUS_OK 200
+#define STATUS_INVALID 400
+#define STATUS_NOT_FOUND 404
+#define STATUS_GONE 410
+#define STATUS_UNAVAILABLE 503
+#define STATUS_UNKNOWN 504
+
+/** Longest wait of a caller that names no timeout. */
+#define DEFAULT_TIMEOUT_MS 3000
+
+#define MAX_ID_BYTES 64
+
+/** An answer has to reach the caller before its timeout. */
+#define ANSWER_MARGIN_MS 150
+
+static void wait_commit(struct sch *s, struct sch_job *job, guint64 call_ref,
+			const struct Rp__StepCall *call)
+{
+	gint64 timeout_ms = call->timeout_ms ? call->timeout_ms
+					     : DEFAULT_TIMEOUT_MS;
+	struct sch_waiter waiter = {
+		.call_ref = call_ref,
+		.verb = call->verb,
+		.until_ms = s->now_ms + MAX(timeout_ms - ANSWER_MARGIN_MS, 1),
+	};
+
+	g_array_append_val(job->waiters, waiter);
+}
+
+static struct Rp__StepJob *copy_spec(const struct Rp__StepJob *spec)
+{
+	size_t len = rp__step_job__get_packed_size(spec);
+	g_autofree uint8_t *data = g_malloc(len);
+
+	rp__step_job__pack(spec, data);
+	return rp__step_job__unpack(NULL, len, data);
+}
+
+/* Tasks are named by the id and numbers, with dots between. */
+static gboolean is_job_id(const char *id)
+{
+	size_t len = strlen(id);
+	size_t i;
+
+	for (i = 0; i < len; i++)
+		if (!g_ascii_isalnum(id[i]) && !strchr("_-", id[i]))
+			return FALSE;
+	return len > 0 && len <= MAX_ID_BYTES;
+}
+
+static void submit(struct sch *s, guint64 call_ref,
+		   const struct Rp__StepCall *call, struct sch_queue *queue,
+		   const char *id)
+{
+	struct sch_job *job = g_hash_table_lookup(s->jobs, id);
+	const char *wrong;
+	struct Rp__StepJob *spec;
+
+	if (job && job->stored) {
+		sch_reply(s, call_ref, STATUS_OK, job->shown, 0, 0);
+		return;
+	}
+	if (job) {
+		wait_commit(s, job, call_ref, call);
+		return;
+	}
+	wrong = is_job_id(id) ? sch_job_check(call->job) : "invalid id";
+	if (wrong) {
+		g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "JOB_ID", id,
+				 "MESSAGE", "job of queue %s refused: %s",
+				 queue->name, wrong);
+		sch_reply(s, call_ref, STATUS_INVALID,
+			  RP__JOB_STATE__JOB_STATE_NONE, 0, 0);
+		return;
+	}
+	spec = copy_spec(call->job);
+	wire_set_string(&spec->job_id, id);
+	wire_set_string(&spec->queue, queue->name);
+	spec->submitted_unix_ms = s->unix_ms;
+	job = sch_job_new(s, id, spec);
+	g_hash_table_insert(s->jobs, job->id, job);
+	g_ptr_array_add(s->active, job);
+	wait_commit(s, job, call_ref, call);
+	sch_job_dirty(s, job);
+	sch_job_advance(s, job);
+}
+
+static Rp__JobState visible_state(const struct sch_job *job)
+{
+	if (job->shown == RP__JOB_STATE__JOB_STATE_DONE ||
+	    job->shown == RP__JOB_STATE__JOB_STATE_FAILED ||
+	    job->shown == RP__JOB_STATE__JOB_STATE_CANCELLED)
+		return job->shown;
+	return job->started ? RP__JOB_STATE__JOB_STATE_RUNNING
+			    : RP__JOB_STATE__JOB_STATE_QUEUED;
+}
+
+static void tell_state(struct sch *s, guint64 call_ref, const char *id)
+{
+	const struct sch_job *job = g_hash_table_lookup(s->jobs, id);
+
+	if (!job)
+		sch_reply(s, call_ref, STATUS_GONE,
+			  RP__JOB_STATE__JOB_STATE_NONE, 0, 0);
+	else if (!job->stored)
+		sch_reply(s, call_ref, STATUS_UNAVAILABLE,
+			  RP__JOB_STATE__JOB_STATE_NONE, 0, 1);
+	else
+		sch_reply(s, call_ref, STATUS_OK, visible_state(job), 0, 0);
+}
+
+static void cancel(struct sch *s, guint64 call_ref,
+		   const struct Rp__StepCall *call, const char *id)
+{
+	struct sch_job *job = g_hash_table_lookup(s->jobs, id);
+
+	if (!job) {
+		sch_reply(s, call_ref, STATUS_GONE,
+			  RP__JOB_STATE__JOB_STATE_NONE, 0, 0);
+		return;
+	}
+	sch_job_end(s, job, RP__JOB_STATE__JOB_STATE_CANCELLED);
+	if (job->change || job->committing)
+		wait_commit(s, job, call_ref, call);
+	else
+		sch_reply(s, call_ref, STATUS_OK, job->shown, 0, 0);
+}
+
+static void count(struct sch *s, guint64 call_ref,
+		  const struct sch_queue *queue)
+{
+	guint waiting = 0;
+	guint i;
+
+	for (i = 0; i < s->active->len; i++) {
+		const struct sch_job *job = s->active->pdata[i];
+
+		if (job->stored && !job->started &&
+		    !strcmp(job->queue, queue->name))
+			waiting++;
+	}
+	sch_reply(s, call_ref, STATUS_OK, RP__JOB_STATE__JOB_STATE_NONE,
+		  waiting, 0);
+}
+
+void sch_call(struct sch *s, guint64 call_ref, const struct Rp__StepCall *call)
+{
+	const char *id = "";
+	struct sch_queue *queue;
+
+	if (!s->queues) {
+		sch_reply(s, call_ref, STATUS_UNAVAILABLE,
+			  RP__JOB_STATE__JOB_STATE_NONE, 0, 1);
+		return;
+	}
+	queue = sch_queue_route(s, call->host, call->path, &id);
+	if (!queue) {
+		sch_reply(s, call_ref, STATUS_NOT_FOUND,
+			  RP__JOB_STATE__JOB_STATE_NONE, 0, 0);
+		return;
+	}
+	switch (call->verb) {
+	case RP__STEP_VERB__STEP_VERB_SUBMIT:
+		submit(s, call_ref, call, queue, id);
+		break;
+	case RP__STEP_VERB__STEP_VERB_STATE:
+		tell_state(s, call_ref, id);
+		break;
+	case RP__STEP_VERB__STEP_VERB_CANCEL:
+		cancel(s, call_ref, call, id);
+		break;
+	case RP__STEP_VERB__STEP_VERB_COUNT:
+		count(s, call_ref, queue);
+		break;
+	default:
+		sch_reply(s, call_ref, STATUS_INVALID,
+			  RP__JOB_STATE__JOB_STATE_NONE, 0, 0);
+	}
+}
+
+void sch_call_committed(struct sch *s, struct sch_job *job)
+{
+	guint i = 0;
+
+	while (i < job->waiters->len) {
+		struct sch_waiter *waiter =
+			&g_array_index(job->waiters, struct sch_waiter, i);
+		gboolean cancelled = sch_job_has_ended(job) &&
+				     job->shown == job->state;
+
+		if (waiter->verb == RP__STEP_VERB__STEP_VERB_CANCEL &&
+		    !cancelled) {
+			i++;
+			continue;
+		}
+		sch_reply(s, waiter->call_ref, STATUS_OK, job->shown, 0, 0);
+		g_array_remove_index(job->waiters, i);
+	}
+}
+
+void sch_call_expire(struct sch *s, struct sch_job *job)
+{
+	guint i = 0;
+
+	while (i < job->waiters->len) {
+		struct sch_waiter *waiter =
+			&g_array_index(job->waiters, struct sch_waiter, i);
+
+		if (s->now_ms < waiter->until_ms) {
+			i++;
+			continue;
+		}
+		/* The record may still become durable. */
+		sch_reply(s, waiter->call_ref, STATUS_UNKNOWN,
+			  RP__JOB_STATE__JOB_STATE_NONE, 0, 0);
+		g_array_remove_index(job->waiters, i);
+	}
+}
--- /dev/null
+++ b/sched/commit.c
@@ -0,0 +1,204 @@
+#include "internal.h"
+
+/*
+ * Changes of records are written in groups, one transaction at a time, so
+ * that the calls to the platform's service do not grow with the tasks.
+ */
+
+/** Changes are collected for so long. */
+#define COMMIT_INTERVAL_MS 20
+
+/** A transaction under way for longer shows that the service is not there. */
+#define STALLED_MS 700
+
+/** Operations of a job: its record and its progress. */
+#define OPS_PER_JOB 2
+
+void sch_job_dirty(struct sch *s, struct sch_job *job)
+{
+	if (job->change)
+		return;
+	job->change = s->next_change++;
+	g_queue_push_tail(&s->dirty, job);
+}
+
+static void set_committing(struct sch_job *job)
+{
+	guint i;
+	size_t k;
+	guint t;
+	guint r;
+
+	for (i = 0; job->spec && i < job->n_occurrences; i++) {
+		struct sch_phase *phases = job->occurrences[i].phases;
+
+		for (k = 0; phases && k < job->spec->n_steps; k++)
+			for (t = 0; t < phases[k].n_tasks; t++)
+				for (r = 0; r < phases[k].tasks[t].n_runs; r++)
+					phases[k].tasks[t].runs[r]->committing =
+						TRUE;
+	}
+}
+
+static void put_bytes(struct kv_txn *txn, const char *prefix, const char *id,
+		      GBytes *value)
+{
+	g_autofree char *key = g_strconcat(prefix, id, NULL);
+
+	kv_txn_put(txn, key, value, 0);
+	g_bytes_unref(value);
+}
+
+static void add_job(struct sch_job *job, struct kv_txn *txn)
+{
+	g_autofree char *key = g_strconcat(SCH_JOB_PREFIX, job->id, NULL);
+	g_autofree char *progress_key =
+		g_strconcat(SCH_PROGRESS_PREFIX, job->id, NULL);
+
+	if (job->forgotten)
+		kv_txn_delete(txn, progress_key);
+	else if (!job->stored && job->spec)
+		put_bytes(txn, SCH_JOB_PREFIX, job->id, sch_record_job(job));
+	else if (!job->spec)
+		kv_txn_delete(txn, key);
+	if (!job->forgotten &&
+	    (job->started || sch_job_has_ended(job) || job->n_runs))
+		put_bytes(txn, SCH_PROGRESS_PREFIX, job->id,
+			  sch_record_progress(job));
+	job->sent = TRUE;
+	job->committing = TRUE;
+	job->committing_change = job->change;
+	job->committing_state = job->state;
+	job->change = 0;
+	set_committing(job);
+}
+
+void sch_commit_start(struct sch *s)
+{
+	struct sch_effect *effect;
+	struct kv_txn *txn;
+
+	if (s->commit || !s->dirty.head ||
+	    s->now_ms < s->committed_ms + COMMIT_INTERVAL_MS)
+		return;
+	txn = kv_txn_new();
+	s->commit = g_ptr_array_new();
+	while (s->dirty.head &&
+	       txn->ops->len + OPS_PER_JOB <= s->options.max_ops) {
+		struct sch_job *job = g_queue_pop_head(&s->dirty);
+
+		add_job(job, txn);
+		g_ptr_array_add(s->commit, job);
+	}
+	s->commit_ms = s->now_ms;
+	s->stats.commits++;
+	effect = sch_effect_add(s, SCH_EFFECT_COMMIT);
+	effect->txn = txn;
+}
+
+static void order_runs(struct sch *s, struct sch_job *job)
+{
+	g_autoptr(GPtrArray) runs = g_ptr_array_new();
+	guint i;
+	size_t k;
+	guint t;
+	guint r;
+
+	for (i = 0; job->spec && i < job->n_occurrences; i++) {
+		struct sch_phase *phases = job->occurrences[i].phases;
+
+		for (k = 0; phases && k < job->spec->n_steps; k++)
+			for (t = 0; t < phases[k].n_tasks; t++)
+				for (r = 0; r < phases[k].tasks[t].n_runs; r++)
+					g_ptr_array_add(
+						runs,
+						phases[k].tasks[t].runs[r]);
+	}
+	for (i = 0; i < runs->len; i++) {
+		struct sch_run *run = runs->pdata[i];
+
+		if (!run->committing)
+			continue;
+		run->committing = FALSE;
+		if (run->state == SCH_RUN_PLANNED)
+			sch_run_order(s, run);
+	}
+}
+
+void sch_commit_done(struct sch *s)
+{
+	g_autoptr(GPtrArray) jobs = g_steal_pointer(&s->commit);
+	guint i;
+
+	g_assert(jobs);
+	s->committed_ms = s->now_ms;
+	for (i = 0; i < jobs->len; i++) {
+		struct sch_job *job = jobs->pdata[i];
+
+		job->committing = FALSE;
+		job->stored = TRUE;
+		job->shown = job->committing_state;
+		order_runs(s, job);
+		sch_call_committed(s, job);
+		if (job->forgotten)
+			g_hash_table_remove(s->jobs, job->id);
+	}
+}
+
+/* Forgets a submission that was never sent to the service. */
+static void drop_job(struct sch *s, struct sch_job *job)
+{
+	guint i;
+
+	sch_job_stop_runs(s, job);
+	for (i = 0; i < job->waiters->len; i++)
+		sch_reply(s,
+			  g_array_index(job->waiters, struct sch_waiter, i)
+				  .call_ref,
+			  503, RP__JOB_STATE__JOB_STATE_NONE, 0, 1);
+	g_array_set_size(job->waiters, 0);
+	g_queue_remove(&s->dirty, job);
+	g_ptr_array_remove(s->active, job);
+	g_hash_table_remove(s->jobs, job->id);
+}
+
+static gboolean may_drop(const struct sch_job *job)
+{
+	return !job->sent && !sch_job_has_ended(job);
+}
+
+void sch_commit_check(struct sch *s)
+{
+	GList *link = s->dirty.head;
+
+	if (!s->commit || s->now_ms < s->commit_ms + STALLED_MS)
+		return;
+	while (link) {
+		struct sch_job *job = link->data;
+
+		link = link->next;
+		if (may_drop(job))
+			drop_job(s, job);
+	}
+}
+
+void sch_commit_deposed(struct sch *s)
+{
+	g_autoptr(GList) jobs = g_hash_table_get_values(s->jobs);
+	GList *link;
+	guint i;
+
+	for (link = jobs; link; link = link->next) {
+		struct sch_job *job = link->data;
+
+		/* A transaction under way may have taken effect. */
+		for (i = 0; i < job->waiters->len; i++)
+			sch_reply(s,
+				  g_array_index(job->waiters, struct sch_waiter,
+						i)
+					  .call_ref,
+				  job->sent ? 504 : 503,
+				  RP__JOB_STATE__JOB_STATE_NONE, 0, 1);
+		g_array_set_size(job->waiters, 0);
+	}
+}
--- /dev/null
+++ b/sched/record.c
@@ -0,0 +1,207 @@
+#include "internal.h"
+
+/* The records of jobs in the platform's service. */
+
+GBytes *sch_record_job(const struct sch_job *job)
+{
+	size_t len = rp__step_job__get_packed_size(job->spec);
+	uint8_t *data = g_malloc(len);
+
+	rp__step_job__pack(job->spec, data);
+	return g_bytes_new_take(data, len);
+}
+
+static struct Rp__RunPlace *place_new(const struct sch_run *run)
+{
+	struct Rp__RunPlace *place = g_malloc(sizeof(*place));
+
+	rp__run_place__init(place);
+	place->attempt = run->attempt;
+	wire_set_string(&place->vm, run->vm->name);
+	wire_set_string(&place->worker_id, run->vm->worker_id);
+	place->worker_born_ms = run->vm->born_ms;
+	return place;
+}
+
+static struct Rp__TaskProgress *task_progress_new(const struct sch_task *task)
+{
+	struct Rp__TaskProgress *progress = g_malloc(sizeof(*progress));
+	guint i;
+
+	rp__task_progress__init(progress);
+	progress->occurrence = task->phase->occurrence;
+	progress->step = task->phase->number;
+	progress->index = task->index;
+	progress->done = task->done;
+	progress->attempts = task->attempts;
+	progress->failures = task->failures;
+	if (!task->done)
+		wire_set_string(&progress->checkpoint, task->checkpoint);
+	progress->n_runs = task->n_runs;
+	progress->runs = g_new0(struct Rp__RunPlace *, task->n_runs);
+	for (i = 0; i < task->n_runs; i++)
+		progress->runs[i] = place_new(task->runs[i]);
+	return progress;
+}
+
+static void add_tasks(const struct sch_job *job, GPtrArray *tasks)
+{
+	guint i;
+	size_t k;
+	guint t;
+
+	for (i = 0; job->spec && i < job->n_occurrences; i++) {
+		struct sch_phase *phases = job->occurrences[i].phases;
+
+		for (k = 0; phases && k < job->spec->n_steps; k++)
+			for (t = 0; t < phases[k].n_tasks; t++)
+				if (phases[k].tasks[t].attempts)
+					g_ptr_array_add(
+						tasks,
+						task_progress_new(
+							&phases[k].tasks[t]));
+	}
+}
+
+GBytes *sch_record_progress(const struct sch_job *job)
+{
+	g_autoptr(GPtrArray) tasks = g_ptr_array_new();
+	struct Rp__StepProgress progress;
+	uint8_t *data;
+	size_t len;
+	guint i;
+
+	rp__step_progress__init(&progress);
+	progress.state = job->state;
+	progress.ended_unix_ms = job->ended_unix_ms;
+	progress.queue = job->queue;
+	add_tasks(job, tasks);
+	progress.n_tasks = tasks->len;
+	progress.tasks = (struct Rp__TaskProgress **)tasks->pdata;
+	len = rp__step_progress__get_packed_size(&progress);
+	data = g_malloc(len);
+	rp__step_progress__pack(&progress, data);
+	for (i = 0; i < tasks->len; i++)
+		rp__task_progress__free_unpacked(tasks->pdata[i], NULL);
+	return g_bytes_new_take(data, len);
+}
+
+int sch_load_job(struct sch *s, const char *id, const void *data, size_t len)
+{
+	struct Rp__StepJob *spec = rp__step_job__unpack(NULL, len, data);
+	struct sch_job *job;
+
+	if (!spec)
+		return -1;
+	if (sch_job_check(spec) || g_hash_table_contains(s->jobs, id)) {
+		rp__step_job__free_unpacked(spec, NULL);
+		return -1;
+	}
+	job = sch_job_new(s, id, spec);
+	job->accepted_ms = s->now_ms -
+			   MAX(s->unix_ms - spec->submitted_unix_ms, 0);
+	job->stored = TRUE;
+	job->sent = TRUE;
+	job->shown = job->state;
+	g_hash_table_insert(s->jobs, job->id, job);
+	g_ptr_array_add(s->active, job);
+	return 0;
+}
+
+static void load_run(struct sch *s, struct sch_task *task,
+		     const struct Rp__RunPlace *place)
+{
+	struct sch_vm *vm;
+	struct sch_run *run;
+
+	if (!*place->vm || task->n_runs == SCH_MAX_COPIES)
+		return;
+	vm = sch_vm_get(s, place->vm);
+	if (vm->worker_id && place->worker_born_ms < vm->born_ms)
+		return;
+	if (!vm->worker_id || place->worker_born_ms > vm->born_ms ||
+	    strcmp(vm->worker_id, place->worker_id)) {
+		/* Runs of an earlier life ended with it. */
+		while (vm->runs->len)
+			sch_run_remove(s, vm->runs->pdata[0]);
+		sch_vm_set_life(vm, place->worker_id, place->worker_born_ms);
+	}
+	run = sch_run_new(s, task, vm, place->attempt);
+	run->state = SCH_RUN_ORDERED;
+	task->job->started = TRUE;
+	/* A copy of a task that is done has been ordered to stop. */
+	run->stopping = task->done;
+}
+
+static int load_task(struct sch *s, struct sch_job *job,
+		     const struct Rp__TaskProgress *progress)
+{
+	g_autofree char *name = g_strdup_printf(
+		"%s.%u.%u.%u", job->id, progress->occurrence, progress->step,
+		progress->index);
+	struct sch_job *found;
+	struct sch_task *task = sch_job_task(s, name, &found);
+	size_t i;
+
+	if (!task)
+		return -1;
+	task->attempts = progress->attempts;
+	task->failures = progress->failures;
+	if (*progress->checkpoint)
+		sch_task_set_checkpoint(task, progress->checkpoint);
+	job->started = TRUE;
+	if (progress->done && !task->done) {
+		task->done = TRUE;
+		task->phase->n_done++;
+		task->phase->n_idle--;
+	}
+	for (i = 0; i < progress->n_runs; i++)
+		load_run(s, task, progress->runs[i]);
+	return 0;
+}
+
+/* Only the state of a job that has ended is kept. */
+static struct sch_job *ended_job_new(struct sch *s, const char *id,
+				     const char *queue)
+{
+	struct sch_job *job = g_new0(struct sch_job, 1);
+
+	job->id = g_strdup(id);
+	job->queue = g_strdup(queue);
+	job->stored = TRUE;
+	job->sent = TRUE;
+	job->started = TRUE;
+	job->waiters = g_array_new(FALSE, FALSE, sizeof(struct sch_waiter));
+	g_hash_table_insert(s->jobs, job->id, job);
+	return job;
+}
+
+int sch_load_progress(struct sch *s, const char *id, const void *data,
+		      size_t len, gint64 unix_ms)
+{
+	struct Rp__StepProgress *progress =
+		rp__step_progress__unpack(NULL, len, data);
+	struct sch_job *job = g_hash_table_lookup(s->jobs, id);
+	int result = 0;
+	size_t i;
+
+	s->unix_ms = unix_ms;
+	if (!progress)
+		return -1;
+	if (!job)
+		job = ended_job_new(s, id, progress->queue);
+	for (i = 0; job->spec && i < progress->n_tasks; i++)
+		if (load_task(s, job, progress->tasks[i]) < 0)
+			result = -1;
+	job->state = progress->state;
+	job->shown = progress->state;
+	job->ended_unix_ms = progress->ended_unix_ms;
+	if (sch_job_has_ended(job)) {
+		g_ptr_array_remove(s->active, job);
+		sch_job_stop_runs(s, job);
+		g_queue_push_tail(&s->ended, job);
+		g_ptr_array_add(s->closing, job);
+	}
+	rp__step_progress__free_unpacked(progress, NULL);
+	return result;
+}
--- /dev/null
+++ b/sched/sched.c
@@ -0,0 +1,194 @@
+#include "internal.h"
+
+/* The reducer: events in, effects out. */
+
+struct sch_effect *sch_effect_add(struct sch *s, enum sch_effect_kind kind)
+{
+	struct sch_effect effect = { .kind = kind };
+
+	rp__step_reply__init(&effect.reply);
+	g_array_append_val(s->effects, effect);
+	return &g_array_index(s->effects, struct sch_effect,
+			      s->effects->len - 1);
+}
+
+void sch_effect_clear(struct sch_effect *effect)
+{
+	g_free(effect->vm);
+	wire_frame_free(effect->frame);
+	if (effect->txn)
+		kv_txn_free(effect->txn);
+}
+
+void sch_reply(struct sch *s, guint64 call_ref, guint status,
+	       Rp__JobState state, guint waiting, guint retry_after_s)
+{
+	struct sch_effect *effect = sch_effect_add(s, SCH_EFFECT_REPLY);
+
+	effect->call_ref = call_ref;
+	effect->reply.status = status;
+	effect->reply.state = state;
+	effect->reply.waiting = waiting;
+	effect->reply.retry_after_s = retry_after_s;
+}
+
+static void free_job(gpointer data)
+{
+	sch_job_free(data);
+}
+
+static void free_vm(gpointer data)
+{
+	sch_vm_free(data);
+}
+
+static void free_queue(gpointer data)
+{
+	sch_queue_free(data);
+}
+
+struct sch *sch_new(const struct sch_options *options, gint64 now_ms)
+{
+	struct sch *s = g_new0(struct sch, 1);
+
+	s->options = *options;
+	s->now_ms = now_ms;
+	s->elected_ms = now_ms;
+	s->proved_ms = now_ms;
+	s->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					free_job);
+	s->vms = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_vm);
+	s->demands = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					   g_free);
+	s->active = g_ptr_array_new();
+	s->closing = g_ptr_array_new();
+	s->next_change = 1;
+	return s;
+}
+
+void sch_free(struct sch *s)
+{
+	if (s->commit)
+		g_ptr_array_unref(s->commit);
+	g_hash_table_unref(s->vms);
+	g_queue_clear(&s->dirty);
+	g_queue_clear(&s->ended);
+	g_ptr_array_unref(s->active);
+	g_ptr_array_unref(s->closing);
+	g_hash_table_unref(s->jobs);
+	g_hash_table_unref(s->demands);
+	if (s->queues)
+		g_ptr_array_unref(s->queues);
+	g_free(s);
+}
+
+static void take_tables(struct sch *s, GPtrArray *queues)
+{
+	if (s->queues)
+		g_ptr_array_unref(s->queues);
+	s->queues = queues;
+	g_ptr_array_set_free_func(queues, free_queue);
+	s->place_due = TRUE;
+}
+
+/* Forgets jobs that ended long ago. */
+static void retain(struct sch *s)
+{
+	struct sch_job *job = g_queue_peek_head(&s->ended);
+
+	if (!job || job->change || job->committing || job->spec ||
+	    s->unix_ms < job->ended_unix_ms + s->options.retention_ms)
+		return;
+	g_queue_pop_head(&s->ended);
+	job->forgotten = TRUE;
+	sch_job_dirty(s, job);
+}
+
+static void tick(struct sch *s)
+{
+	GHashTableIter iter;
+	gpointer value;
+	guint i;
+
+	sch_vm_expire(s);
+	for (i = s->active->len; i-- > 0;)
+		sch_job_advance(s, s->active->pdata[i]);
+	g_hash_table_iter_init(&iter, s->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		sch_call_expire(s, value);
+	sch_commit_check(s);
+	sch_move(s);
+	retain(s);
+}
+
+static void dispatch(struct sch *s, const struct sch_event *ev)
+{
+	switch (ev->kind) {
+	case SCH_EVENT_TICK:
+		tick(s);
+		break;
+	case SCH_EVENT_PROOF:
+		s->proved_ms = MAX(s->proved_ms, ev->proved_ms);
+		break;
+	case SCH_EVENT_TABLES:
+		take_tables(s, ev->queues);
+		break;
+	case SCH_EVENT_CALL:
+		sch_call(s, ev->call_ref, ev->call);
+		break;
+	case SCH_EVENT_VM_UP:
+		sch_vm_up(s, ev->vm);
+		break;
+	case SCH_EVENT_VM_DOWN:
+		sch_vm_down(s, ev->vm);
+		break;
+	case SCH_EVENT_REPORT:
+		sch_vm_report(s, ev->vm, ev->report);
+		break;
+	case SCH_EVENT_COMMITTED:
+		sch_commit_done(s);
+		break;
+	case SCH_EVENT_DEPOSED:
+		sch_commit_deposed(s);
+		break;
+	}
+}
+
+void sch_reduce(struct sch *s, const struct sch_event *ev, GArray *effects)
+{
+	s->effects = effects;
+	s->now_ms = ev->now_ms;
+	s->unix_ms = ev->unix_ms;
+	dispatch(s, ev);
+	if (ev->kind != SCH_EVENT_DEPOSED) {
+		sch_job_close_ended(s);
+		sch_place(s);
+		sch_commit_start(s);
+		sch_vm_send_orders(s);
+	}
+	s->effects = NULL;
+}
+
+void sch_get_stats(const struct sch *s, struct sch_stats *stats)
+{
+	GHashTableIter iter;
+	gpointer value;
+	guint i;
+
+	*stats = s->stats;
+	stats->jobs_ended = s->ended.length;
+	for (i = 0; i < s->active->len; i++) {
+		const struct sch_job *job = s->active->pdata[i];
+
+		if (job->started)
+			stats->jobs_running++;
+		else
+			stats->jobs_waiting++;
+	}
+	g_hash_table_iter_init(&iter, s->vms);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		stats->vms++;
+		if (sch_vm_is_usable(s, value))
+			stats->vms_usable++;
+	}
+}
--- /dev/null
+++ b/sched/sched.h
@@ -0,0 +1,145 @@
+#ifndef SCHED_H
+#define SCHED_H
+
+#include <glib.h>
+
+#include "../kv/kv.h"
+#include "../wire/wire.h"
+
+/*
+ * Decisions of the leader on jobs of steps: a reducer without input or output.
+ * Time is the boot clock in ms; unix_ms of an event is the time of day, which
+ * only occurrences in time and retention use.
+ *
+ * At most one entry leads. Its fence, the revision at which it was elected, is
+ * unique and rises, and workers refuse orders with a lower one. An order to
+ * start is sent only after the record that names its VM is durable, and a
+ * record can be written only by the elected leader, so a new leader finds
+ * every run that may exist in the records.
+ */
+
+/** Keys of the platform's service; the job's id follows. */
+#define SCH_JOB_PREFIX "radishpier/step-job/"
+#define SCH_PROGRESS_PREFIX "radishpier/step-progress/"
+
+/** Queue of jobs, from a route of the operators' table. */
+struct sch_queue {
+	char *name;
+	/** A call belongs to the longest prefix of its host. */
+	char *host;
+	char *path_prefix;
+	/** Pool of workers that runs the queue's tasks. */
+	char *pool;
+	/** 0 is the most urgent. */
+	guint32 priority;
+	/** Failed attempts after which a task fails its job. */
+	guint32 max_attempts;
+	/** Objective: this many times the longest chain of work, and */
+	double slack_factor;
+	/** this much more. */
+	gint64 target_ms;
+};
+
+struct sch_queue *sch_queue_new(void);
+void sch_queue_free(struct sch_queue *queue);
+
+struct sch_options {
+	/** The leader's term. */
+	guint64 fence;
+	/** Lease that a worker gets from the reading of its clock. */
+	gint64 lease_ms;
+	/** Leases are extended so long after the last proof of leadership. */
+	gint64 authority_ms;
+	/** Most operations of a transaction, comparisons excluded. */
+	guint max_ops;
+	/** A job's state is kept so long after its end. */
+	gint64 retention_ms;
+};
+
+enum sch_event_kind {
+	SCH_EVENT_TICK,
+	/** Leadership was proved by a call sent at proved_ms. */
+	SCH_EVENT_PROOF,
+	/** queues is the whole table, taken over by the reducer. */
+	SCH_EVENT_TABLES,
+	/** call belongs to the shell; call_ref names it in the reply. */
+	SCH_EVENT_CALL,
+	/** A connection to the agent of vm was made. */
+	SCH_EVENT_VM_UP,
+	SCH_EVENT_VM_DOWN,
+	/** report belongs to the shell. */
+	SCH_EVENT_REPORT,
+	/** The transaction under way took effect. */
+	SCH_EVENT_COMMITTED,
+	/** Another process leads; ends all calls. */
+	SCH_EVENT_DEPOSED,
+};
+
+struct sch_event {
+	enum sch_event_kind kind;
+	gint64 now_ms;
+	gint64 unix_ms;
+	gint64 proved_ms;
+	/** Of struct sch_queue pointers. */
+	GPtrArray *queues;
+	guint64 call_ref;
+	const struct Rp__StepCall *call;
+	const char *vm;
+	const struct Rp__VmReport *report;
+};
+
+enum sch_effect_kind {
+	/** Answers call_ref with reply, which the shell frees. */
+	SCH_EFFECT_REPLY,
+	/** Sends frame to the agent of vm; the shell frees both. */
+	SCH_EFFECT_ORDERS,
+	/** Writes txn under the leader's conditions; the shell frees it. */
+	SCH_EFFECT_COMMIT,
+};
+
+struct sch_effect {
+	enum sch_effect_kind kind;
+	guint64 call_ref;
+	struct Rp__StepReply reply;
+	char *vm;
+	struct Rp__Frame *frame;
+	struct kv_txn *txn;
+};
+
+struct sch;
+
+struct sch *sch_new(const struct sch_options *options, gint64 now_ms);
+void sch_free(struct sch *s);
+
+/**
+ * Adds a stored job or a job's stored progress, before the first event. Returns
+ * -1 if the value is not a valid record.
+ */
+int sch_load_job(struct sch *s, const char *id, const void *data, size_t len);
+int sch_load_progress(struct sch *s, const char *id, const void *data,
+		      size_t len, gint64 unix_ms);
+
+/** Appends struct sch_effect to effects, in the order to be carried out. */
+void sch_reduce(struct sch *s, const struct sch_event *ev, GArray *effects);
+
+/** Frees what the effect owns. */
+void sch_effect_clear(struct sch_effect *effect);
+
+/** Figures for metrics and the status page. */
+struct sch_stats {
+	guint jobs_waiting;
+	guint jobs_running;
+	guint jobs_ended;
+	guint runs;
+	guint vms;
+	guint vms_usable;
+	guint64 starts;
+	guint64 lost_runs;
+	guint64 preempted;
+	guint64 copies;
+	guint64 commits;
+};
+
+void sch_get_stats(const struct sch *s, struct sch_stats *stats);
+
+#endif
--- a/wire/rp.pb-c.c
+++ b/wire/rp.pb-c.c
@@ -1582,328 +1582,2591 @@
   assert(message->base.descriptor == &rp__peer_reply__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   rp__frame__init
-                     (Rp__Frame         *message)
+void   rp__leader_hello__init
+                     (Rp__LeaderHello         *message)
 {
-  static const Rp__Frame init_value = RP__FRAME__INIT;
+  static const Rp__LeaderHello init_value = RP__LEADER_HELLO__INIT;
   *message = init_value;
 }
-size_t rp__frame__get_packed_size
-                     (const Rp__Frame *message)
+size_t rp__leader_hello__get_packed_size
+                     (const Rp__LeaderHello *message)
 {
-  assert(message->base.descriptor == &rp__frame__descriptor);
+  assert(message->base.descriptor == &rp__leader_hello__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t rp__frame__pack
-                     (const Rp__Frame *message,
+size_t rp__leader_hello__pack
+                     (const Rp__LeaderHello *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &rp__frame__descriptor);
+  assert(message->base.descriptor == &rp__leader_hello__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t rp__frame__pack_to_buffer
-                     (const Rp__Frame *message,
+size_t rp__leader_hello__pack_to_buffer
+                     (const Rp__LeaderHello *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &rp__frame__descriptor);
+  assert(message->base.descriptor == &rp__leader_hello__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Rp__Frame *
-       rp__frame__unpack
+Rp__LeaderHello *
+       rp__leader_hello__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Rp__Frame *)
-     protobuf_c_message_unpack (&rp__frame__descriptor,
+  return (Rp__LeaderHello *)
+     protobuf_c_message_unpack (&rp__leader_hello__descriptor,
                                 allocator, len, data);
 }
-void   rp__frame__free_unpacked
-                     (Rp__Frame *message,
+void   rp__leader_hello__free_unpacked
+                     (Rp__LeaderHello *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &rp__frame__descriptor);
+  assert(message->base.descriptor == &rp__leader_hello__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   rp__job_record__init
-                     (Rp__JobRecord         *message)
+void   rp__node_beat__init
+                     (Rp__NodeBeat         *message)
 {
-  static const Rp__JobRecord init_value = RP__JOB_RECORD__INIT;
+  static const Rp__NodeBeat init_value = RP__NODE_BEAT__INIT;
   *message = init_value;
 }
-size_t rp__job_record__get_packed_size
-                     (const Rp__JobRecord *message)
+size_t rp__node_beat__get_packed_size
+                     (const Rp__NodeBeat *message)
 {
-  assert(message->base.descriptor == &rp__job_record__descriptor);
+  assert(message->base.descriptor == &rp__node_beat__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t rp__job_record__pack
-                     (const Rp__JobRecord *message,
+size_t rp__node_beat__pack
+                     (const Rp__NodeBeat *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &rp__job_record__descriptor);
+  assert(message->base.descriptor == &rp__node_beat__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t rp__job_record__pack_to_buffer
-                     (const Rp__JobRecord *message,
+size_t rp__node_beat__pack_to_buffer
+                     (const Rp__NodeBeat *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &rp__job_record__descriptor);
+  assert(message->base.descriptor == &rp__node_beat__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Rp__JobRecord *
-       rp__job_record__unpack
+Rp__NodeBeat *
+       rp__node_beat__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Rp__JobRecord *)
-     protobuf_c_message_unpack (&rp__job_record__descriptor,
+  return (Rp__NodeBeat *)
+     protobuf_c_message_unpack (&rp__node_beat__descriptor,
                                 allocator, len, data);
 }
-void   rp__job_record__free_unpacked
-                     (Rp__JobRecord *message,
+void   rp__node_beat__free_unpacked
+                     (Rp__NodeBeat *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &rp__job_record__descriptor);
+  assert(message->base.descriptor == &rp__node_beat__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor rp__resources__field_descriptors[3] =
+void   rp__run_name__init
+                     (Rp__RunName         *message)
 {
-  {
-    "cpu_milli",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
-    0,   /* quantifier_offset */
-    offsetof(Rp__Resources, cpu_milli),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "memory_bytes",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
-    0,   /* quantifier_offset */
-    offsetof(Rp__Resources, memory_bytes),
-    NULL,
+  static const Rp__RunName init_value = RP__RUN_NAME__INIT;
+  *message = init_value;
+}
+size_t rp__run_name__get_packed_size
+                     (const Rp__RunName *message)
+{
+  assert(message->base.descriptor == &rp__run_name__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rp__run_name__pack
+                     (const Rp__RunName *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rp__run_name__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rp__run_name__pack_to_buffer
+                     (const Rp__RunName *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rp__run_name__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rp__RunName *
+       rp__run_name__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rp__RunName *)
+     protobuf_c_message_unpack (&rp__run_name__descriptor,
+                                allocator, len, data);
+}
+void   rp__run_name__free_unpacked
+                     (Rp__RunName *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp__run_name__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rp__run_start__init
+                     (Rp__RunStart         *message)
+{
+  static const Rp__RunStart init_value = RP__RUN_START__INIT;
+  *message = init_value;
+}
+size_t rp__run_start__get_packed_size
+                     (const Rp__RunStart *message)
+{
+  assert(message->base.descriptor == &rp__run_start__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rp__run_start__pack
+                     (const Rp__RunStart *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rp__run_start__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rp__run_start__pack_to_buffer
+                     (const Rp__RunStart *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rp__run_start__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rp__RunStart *
+       rp__run_start__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rp__RunStart *)
+     protobuf_c_message_unpack (&rp__run_start__descriptor,
+                                allocator, len, data);
+}
+void   rp__run_start__free_unpacked
+                     (Rp__RunStart *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp__run_start__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rp__vm_orders__init
+                     (Rp__VmOrders         *message)
+{
+  static const Rp__VmOrders init_value = RP__VM_ORDERS__INIT;
+  *message = init_value;
+}
+size_t rp__vm_orders__get_packed_size
+                     (const Rp__VmOrders *message)
+{
+  assert(message->base.descriptor == &rp__vm_orders__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rp__vm_orders__pack
+                     (const Rp__VmOrders *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rp__vm_orders__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rp__vm_orders__pack_to_buffer
+                     (const Rp__VmOrders *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rp__vm_orders__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rp__VmOrders *
+       rp__vm_orders__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rp__VmOrders *)
+     protobuf_c_message_unpack (&rp__vm_orders__descriptor,
+                                allocator, len, data);
+}
+void   rp__vm_orders__free_unpacked
+                     (Rp__VmOrders *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp__vm_orders__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rp__worker_info__init
+                     (Rp__WorkerInfo         *message)
+{
+  static const Rp__WorkerInfo init_value = RP__WORKER_INFO__INIT;
+  *message = init_value;
+}
+size_t rp__worker_info__get_packed_size
+                     (const Rp__WorkerInfo *message)
+{
+  assert(message->base.descriptor == &rp__worker_info__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rp__worker_info__pack
+                     (const Rp__WorkerInfo *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rp__worker_info__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rp__worker_info__pack_to_buffer
+                     (const Rp__WorkerInfo *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rp__worker_info__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rp__WorkerInfo *
+       rp__worker_info__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rp__WorkerInfo *)
+     protobuf_c_message_unpack (&rp__worker_info__descriptor,
+                                allocator, len, data);
+}
+void   rp__worker_info__free_unpacked
+                     (Rp__WorkerInfo *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp__worker_info__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rp__run_row__init
+                     (Rp__RunRow         *message)
+{
+  static const Rp__RunRow init_value = RP__RUN_ROW__INIT;
+  *message = init_value;
+}
+size_t rp__run_row__get_packed_size
+                     (const Rp__RunRow *message)
+{
+  assert(message->base.descriptor == &rp__run_row__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rp__run_row__pack
+                     (const Rp__RunRow *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rp__run_row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rp__run_row__pack_to_buffer
+                     (const Rp__RunRow *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rp__run_row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rp__RunRow *
+       rp__run_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rp__RunRow *)
+     protobuf_c_message_unpack (&rp__run_row__descriptor,
+                                allocator, len, data);
+}
+void   rp__run_row__free_unpacked
+                     (Rp__RunRow *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp__run_row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rp__run_end__init
+                     (Rp__RunEnd         *message)
+{
+  static const Rp__RunEnd init_value = RP__RUN_END__INIT;
+  *message = init_value;
+}
+size_t rp__run_end__get_packed_size
+                     (const Rp__RunEnd *message)
+{
+  assert(message->base.descriptor == &rp__run_end__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rp__run_end__pack
+                     (const Rp__RunEnd *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rp__run_end__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rp__run_end__pack_to_buffer
+                     (const Rp__RunEnd *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rp__run_end__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rp__RunEnd *
+       rp__run_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rp__RunEnd *)
+     protobuf_c_message_unpack (&rp__run_end__descriptor,
+                                allocator, len, data);
+}
+void   rp__run_end__free_unpacked
+                     (Rp__RunEnd *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp__run_end__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rp__run_answer__init
+                     (Rp__RunAnswer         *message)
+{
+  static const Rp__RunAnswer init_value = RP__RUN_ANSWER__INIT;
+  *message = init_value;
+}
+size_t rp__run_answer__get_packed_size
+                     (const Rp__RunAnswer *message)
+{
+  assert(message->base.descriptor == &rp__run_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rp__run_answer__pack
+                     (const Rp__RunAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rp__run_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rp__run_answer__pack_to_buffer
+                     (const Rp__RunAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rp__run_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rp__RunAnswer *
+       rp__run_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rp__RunAnswer *)
+     protobuf_c_message_unpack (&rp__run_answer__descriptor,
+                                allocator, len, data);
+}
+void   rp__run_answer__free_unpacked
+                     (Rp__RunAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp__run_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rp__vm_report__init
+                     (Rp__VmReport         *message)
+{
+  static const Rp__VmReport init_value = RP__VM_REPORT__INIT;
+  *message = init_value;
+}
+size_t rp__vm_report__get_packed_size
+                     (const Rp__VmReport *message)
+{
+  assert(message->base.descriptor == &rp__vm_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rp__vm_report__pack
+                     (const Rp__VmReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rp__vm_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rp__vm_report__pack_to_buffer
+                     (const Rp__VmReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rp__vm_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rp__VmReport *
+       rp__vm_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rp__VmReport *)
+     protobuf_c_message_unpack (&rp__vm_report__descriptor,
+                                allocator, len, data);
+}
+void   rp__vm_report__free_unpacked
+                     (Rp__VmReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp__vm_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rp__step_spec__init
+                     (Rp__StepSpec         *message)
+{
+  static const Rp__StepSpec init_value = RP__STEP_SPEC__INIT;
+  *message = init_value;
+}
+size_t rp__step_spec__get_packed_size
+                     (const Rp__StepSpec *message)
+{
+  assert(message->base.descriptor == &rp__step_spec__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rp__step_spec__pack
+                     (const Rp__StepSpec *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rp__step_spec__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rp__step_spec__pack_to_buffer
+                     (const Rp__StepSpec *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rp__step_spec__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rp__StepSpec *
+       rp__step_spec__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rp__StepSpec *)
+     protobuf_c_message_unpack (&rp__step_spec__descriptor,
+                                allocator, len, data);
+}
+void   rp__step_spec__free_unpacked
+                     (Rp__StepSpec *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp__step_spec__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rp__step_job__init
+                     (Rp__StepJob         *message)
+{
+  static const Rp__StepJob init_value = RP__STEP_JOB__INIT;
+  *message = init_value;
+}
+size_t rp__step_job__get_packed_size
+                     (const Rp__StepJob *message)
+{
+  assert(message->base.descriptor == &rp__step_job__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rp__step_job__pack
+                     (const Rp__StepJob *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rp__step_job__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rp__step_job__pack_to_buffer
+                     (const Rp__StepJob *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rp__step_job__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rp__StepJob *
+       rp__step_job__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rp__StepJob *)
+     protobuf_c_message_unpack (&rp__step_job__descriptor,
+                                allocator, len, data);
+}
+void   rp__step_job__free_unpacked
+                     (Rp__StepJob *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp__step_job__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rp__step_call__init
+                     (Rp__StepCall         *message)
+{
+  static const Rp__StepCall init_value = RP__STEP_CALL__INIT;
+  *message = init_value;
+}
+size_t rp__step_call__get_packed_size
+                     (const Rp__StepCall *message)
+{
+  assert(message->base.descriptor == &rp__step_call__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rp__step_call__pack
+                     (const Rp__StepCall *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rp__step_call__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rp__step_call__pack_to_buffer
+                     (const Rp__StepCall *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rp__step_call__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rp__StepCall *
+       rp__step_call__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rp__StepCall *)
+     protobuf_c_message_unpack (&rp__step_call__descriptor,
+                                allocator, len, data);
+}
+void   rp__step_call__free_unpacked
+                     (Rp__StepCall *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp__step_call__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rp__step_reply__init
+                     (Rp__StepReply         *message)
+{
+  static const Rp__StepReply init_value = RP__STEP_REPLY__INIT;
+  *message = init_value;
+}
+size_t rp__step_reply__get_packed_size
+                     (const Rp__StepReply *message)
+{
+  assert(message->base.descriptor == &rp__step_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rp__step_reply__pack
+                     (const Rp__StepReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rp__step_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rp__step_reply__pack_to_buffer
+                     (const Rp__StepReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rp__step_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rp__StepReply *
+       rp__step_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rp__StepReply *)
+     protobuf_c_message_unpack (&rp__step_reply__descriptor,
+                                allocator, len, data);
+}
+void   rp__step_reply__free_unpacked
+                     (Rp__StepReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp__step_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rp__run_place__init
+                     (Rp__RunPlace         *message)
+{
+  static const Rp__RunPlace init_value = RP__RUN_PLACE__INIT;
+  *message = init_value;
+}
+size_t rp__run_place__get_packed_size
+                     (const Rp__RunPlace *message)
+{
+  assert(message->base.descriptor == &rp__run_place__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rp__run_place__pack
+                     (const Rp__RunPlace *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rp__run_place__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rp__run_place__pack_to_buffer
+                     (const Rp__RunPlace *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rp__run_place__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rp__RunPlace *
+       rp__run_place__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rp__RunPlace *)
+     protobuf_c_message_unpack (&rp__run_place__descriptor,
+                                allocator, len, data);
+}
+void   rp__run_place__free_unpacked
+                     (Rp__RunPlace *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp__run_place__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rp__task_progress__init
+                     (Rp__TaskProgress         *message)
+{
+  static const Rp__TaskProgress init_value = RP__TASK_PROGRESS__INIT;
+  *message = init_value;
+}
+size_t rp__task_progress__get_packed_size
+                     (const Rp__TaskProgress *message)
+{
+  assert(message->base.descriptor == &rp__task_progress__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rp__task_progress__pack
+                     (const Rp__TaskProgress *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rp__task_progress__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rp__task_progress__pack_to_buffer
+                     (const Rp__TaskProgress *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rp__task_progress__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rp__TaskProgress *
+       rp__task_progress__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rp__TaskProgress *)
+     protobuf_c_message_unpack (&rp__task_progress__descriptor,
+                                allocator, len, data);
+}
+void   rp__task_progress__free_unpacked
+                     (Rp__TaskProgress *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp__task_progress__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rp__step_progress__init
+                     (Rp__StepProgress         *message)
+{
+  static const Rp__StepProgress init_value = RP__STEP_PROGRESS__INIT;
+  *message = init_value;
+}
+size_t rp__step_progress__get_packed_size
+                     (const Rp__StepProgress *message)
+{
+  assert(message->base.descriptor == &rp__step_progress__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rp__step_progress__pack
+                     (const Rp__StepProgress *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rp__step_progress__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rp__step_progress__pack_to_buffer
+                     (const Rp__StepProgress *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rp__step_progress__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rp__StepProgress *
+       rp__step_progress__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rp__StepProgress *)
+     protobuf_c_message_unpack (&rp__step_progress__descriptor,
+                                allocator, len, data);
+}
+void   rp__step_progress__free_unpacked
+                     (Rp__StepProgress *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp__step_progress__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rp__frame__init
+                     (Rp__Frame         *message)
+{
+  static const Rp__Frame init_value = RP__FRAME__INIT;
+  *message = init_value;
+}
+size_t rp__frame__get_packed_size
+                     (const Rp__Frame *message)
+{
+  assert(message->base.descriptor == &rp__frame__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rp__frame__pack
+                     (const Rp__Frame *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rp__frame__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rp__frame__pack_to_buffer
+                     (const Rp__Frame *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rp__frame__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rp__Frame *
+       rp__frame__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rp__Frame *)
+     protobuf_c_message_unpack (&rp__frame__descriptor,
+                                allocator, len, data);
+}
+void   rp__frame__free_unpacked
+                     (Rp__Frame *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp__frame__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rp__job_record__init
+                     (Rp__JobRecord         *message)
+{
+  static const Rp__JobRecord init_value = RP__JOB_RECORD__INIT;
+  *message = init_value;
+}
+size_t rp__job_record__get_packed_size
+                     (const Rp__JobRecord *message)
+{
+  assert(message->base.descriptor == &rp__job_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rp__job_record__pack
+                     (const Rp__JobRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rp__job_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rp__job_record__pack_to_buffer
+                     (const Rp__JobRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rp__job_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rp__JobRecord *
+       rp__job_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rp__JobRecord *)
+     protobuf_c_message_unpack (&rp__job_record__descriptor,
+                                allocator, len, data);
+}
+void   rp__job_record__free_unpacked
+                     (Rp__JobRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp__job_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor rp__resources__field_descriptors[3] =
+{
+  {
+    "cpu_milli",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Resources, cpu_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory_bytes",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Resources, memory_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accelerators",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Resources, accelerators),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rp__resources__field_indices_by_name[] = {
+  2,   /* field[2] = accelerators */
+  0,   /* field[0] = cpu_milli */
+  1,   /* field[1] = memory_bytes */
+};
+static const ProtobufCIntRange rp__resources__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor rp__resources__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rp.Resources",
+  "Resources",
+  "Rp__Resources",
+  "rp",
+  sizeof(Rp__Resources),
+  3,
+  rp__resources__field_descriptors,
+  rp__resources__field_indices_by_name,
+  1,  rp__resources__number_ranges,
+  (ProtobufCMessageInit) rp__resources__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp__header__field_descriptors[2] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Header, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "value",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Header, value),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rp__header__field_indices_by_name[] = {
+  0,   /* field[0] = name */
+  1,   /* field[1] = value */
+};
+static const ProtobufCIntRange rp__header__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor rp__header__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rp.Header",
+  "Header",
+  "Rp__Header",
+  "rp",
+  sizeof(Rp__Header),
+  2,
+  rp__header__field_descriptors,
+  rp__header__field_indices_by_name,
+  1,  rp__header__number_ranges,
+  (ProtobufCMessageInit) rp__header__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp__hello__field_descriptors[13] =
+{
+  {
+    "vm",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Hello, vm),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "agent_boot_id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Hello, agent_boot_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "worker_boot_id",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Hello, worker_boot_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zone",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Hello, zone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rack",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Hello, rack),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pools",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Rp__Hello, n_pools),
+    offsetof(Rp__Hello, pools),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Hello, slots),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "connections",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Hello, connections),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "capacity",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Hello, capacity),
+    &rp__resources__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tables_generation",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Hello, tables_generation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "session",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Hello, session),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "draining",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Hello, draining),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accepts_deltas",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Hello, accepts_deltas),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rp__hello__field_indices_by_name[] = {
+  12,   /* field[12] = accepts_deltas */
+  1,   /* field[1] = agent_boot_id */
+  8,   /* field[8] = capacity */
+  7,   /* field[7] = connections */
+  11,   /* field[11] = draining */
+  5,   /* field[5] = pools */
+  4,   /* field[4] = rack */
+  10,   /* field[10] = session */
+  6,   /* field[6] = slots */
+  9,   /* field[9] = tables_generation */
+  0,   /* field[0] = vm */
+  2,   /* field[2] = worker_boot_id */
+  3,   /* field[3] = zone */
+};
+static const ProtobufCIntRange rp__hello__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 13 }
+};
+const ProtobufCMessageDescriptor rp__hello__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rp.Hello",
+  "Hello",
+  "Rp__Hello",
+  "rp",
+  sizeof(Rp__Hello),
+  13,
+  rp__hello__field_descriptors,
+  rp__hello__field_indices_by_name,
+  1,  rp__hello__number_ranges,
+  (ProtobufCMessageInit) rp__hello__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp__unended__field_descriptors[2] =
+{
+  {
+    "pool",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Unended, pool),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "remaining_ms",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Rp__Unended, n_remaining_ms),
+    offsetof(Rp__Unended, remaining_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rp__unended__field_indices_by_name[] = {
+  0,   /* field[0] = pool */
+  1,   /* field[1] = remaining_ms */
+};
+static const ProtobufCIntRange rp__unended__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor rp__unended__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rp.Unended",
+  "Unended",
+  "Rp__Unended",
+  "rp",
+  sizeof(Rp__Unended),
+  2,
+  rp__unended__field_descriptors,
+  rp__unended__field_indices_by_name,
+  1,  rp__unended__number_ranges,
+  (ProtobufCMessageInit) rp__unended__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp__welcome__field_descriptors[4] =
+{
+  {
+    "entry_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Welcome, entry_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tables_generation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Welcome, tables_generation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "entry_addresses",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Rp__Welcome, n_entry_addresses),
+    offsetof(Rp__Welcome, entry_addresses),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unended",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rp__Welcome, n_unended),
+    offsetof(Rp__Welcome, unended),
+    &rp__unended__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rp__welcome__field_indices_by_name[] = {
+  2,   /* field[2] = entry_addresses */
+  0,   /* field[0] = entry_id */
+  1,   /* field[1] = tables_generation */
+  3,   /* field[3] = unended */
+};
+static const ProtobufCIntRange rp__welcome__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor rp__welcome__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rp.Welcome",
+  "Welcome",
+  "Rp__Welcome",
+  "rp",
+  sizeof(Rp__Welcome),
+  4,
+  rp__welcome__field_descriptors,
+  rp__welcome__field_indices_by_name,
+  1,  rp__welcome__number_ranges,
+  (ProtobufCMessageInit) rp__welcome__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp__pool_load__field_descriptors[9] =
+{
+  {
+    "pool",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rp__PoolLoad, pool),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "in_flight",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rp__PoolLoad, in_flight),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "latency_us",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rp__PoolLoad, latency_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fleet_slots",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rp__PoolLoad, fleet_slots),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "high_us",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rp__PoolLoad, high_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quiet_us",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rp__PoolLoad, quiet_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit_us",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rp__PoolLoad, limit_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answers_per_min",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rp__PoolLoad, answers_per_min),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "queued",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rp__PoolLoad, queued),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rp__pool_load__field_indices_by_name[] = {
+  7,   /* field[7] = answers_per_min */
+  3,   /* field[3] = fleet_slots */
+  4,   /* field[4] = high_us */
+  1,   /* field[1] = in_flight */
+  2,   /* field[2] = latency_us */
+  6,   /* field[6] = limit_us */
+  0,   /* field[0] = pool */
+  8,   /* field[8] = queued */
+  5,   /* field[5] = quiet_us */
+};
+static const ProtobufCIntRange rp__pool_load__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor rp__pool_load__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rp.PoolLoad",
+  "PoolLoad",
+  "Rp__PoolLoad",
+  "rp",
+  sizeof(Rp__PoolLoad),
+  9,
+  rp__pool_load__field_descriptors,
+  rp__pool_load__field_indices_by_name,
+  1,  rp__pool_load__number_ranges,
+  (ProtobufCMessageInit) rp__pool_load__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp__kind_load__field_descriptors[5] =
+{
+  {
+    "kind",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rp__KindLoad, kind),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tasks",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rp__KindLoad, tasks),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "throttled",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rp__KindLoad, throttled),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cpu_milli",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Rp__KindLoad, cpu_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "used",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Rp__KindLoad, used),
+    &rp__resources__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rp__kind_load__field_indices_by_name[] = {
+  3,   /* field[3] = cpu_milli */
+  0,   /* field[0] = kind */
+  1,   /* field[1] = tasks */
+  2,   /* field[2] = throttled */
+  4,   /* field[4] = used */
+};
+static const ProtobufCIntRange rp__kind_load__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor rp__kind_load__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rp.KindLoad",
+  "KindLoad",
+  "Rp__KindLoad",
+  "rp",
+  sizeof(Rp__KindLoad),
+  5,
+  rp__kind_load__field_descriptors,
+  rp__kind_load__field_indices_by_name,
+  1,  rp__kind_load__number_ranges,
+  (ProtobufCMessageInit) rp__kind_load__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp__report__field_descriptors[9] =
+{
+  {
+    "slots_in_use",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Report, slots_in_use),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "committed",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Report, committed),
+    &rp__resources__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "used",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Report, used),
+    &rp__resources__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "draining",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Report, draining),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pools",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rp__Report, n_pools),
+    offsetof(Rp__Report, pools),
+    &rp__pool_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tables_generation",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Report, tables_generation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "session",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Report, session),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "worker_boot_id",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Report, worker_boot_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kinds",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rp__Report, n_kinds),
+    offsetof(Rp__Report, kinds),
+    &rp__kind_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rp__report__field_indices_by_name[] = {
+  1,   /* field[1] = committed */
+  3,   /* field[3] = draining */
+  8,   /* field[8] = kinds */
+  4,   /* field[4] = pools */
+  6,   /* field[6] = session */
+  0,   /* field[0] = slots_in_use */
+  5,   /* field[5] = tables_generation */
+  2,   /* field[2] = used */
+  7,   /* field[7] = worker_boot_id */
+};
+static const ProtobufCIntRange rp__report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor rp__report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rp.Report",
+  "Report",
+  "Rp__Report",
+  "rp",
+  sizeof(Rp__Report),
+  9,
+  rp__report__field_descriptors,
+  rp__report__field_indices_by_name,
+  1,  rp__report__number_ranges,
+  (ProtobufCMessageInit) rp__report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp__fleet_info__field_descriptors[2] =
+{
+  {
+    "pools",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rp__FleetInfo, n_pools),
+    offsetof(Rp__FleetInfo, pools),
+    &rp__pool_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "entry_addresses",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Rp__FleetInfo, n_entry_addresses),
+    offsetof(Rp__FleetInfo, entry_addresses),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rp__fleet_info__field_indices_by_name[] = {
+  1,   /* field[1] = entry_addresses */
+  0,   /* field[0] = pools */
+};
+static const ProtobufCIntRange rp__fleet_info__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor rp__fleet_info__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rp.FleetInfo",
+  "FleetInfo",
+  "Rp__FleetInfo",
+  "rp",
+  sizeof(Rp__FleetInfo),
+  2,
+  rp__fleet_info__field_descriptors,
+  rp__fleet_info__field_indices_by_name,
+  1,  rp__fleet_info__number_ranges,
+  (ProtobufCMessageInit) rp__fleet_info__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp__request__field_descriptors[10] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Request, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pool",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Request, pool),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "idempotent",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Request, idempotent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "timeout_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Request, timeout_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tables_generation",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Request, tables_generation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "method",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Request, method),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Request, target),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "headers",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rp__Request, n_headers),
+    offsetof(Rp__Request, headers),
+    &rp__header__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Request, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "request_id",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Request, request_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rp__request__field_indices_by_name[] = {
+  8,   /* field[8] = body */
+  7,   /* field[7] = headers */
+  0,   /* field[0] = id */
+  2,   /* field[2] = idempotent */
+  5,   /* field[5] = method */
+  1,   /* field[1] = pool */
+  9,   /* field[9] = request_id */
+  4,   /* field[4] = tables_generation */
+  6,   /* field[6] = target */
+  3,   /* field[3] = timeout_ms */
+};
+static const ProtobufCIntRange rp__request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 10 }
+};
+const ProtobufCMessageDescriptor rp__request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rp.Request",
+  "Request",
+  "Rp__Request",
+  "rp",
+  sizeof(Rp__Request),
+  10,
+  rp__request__field_descriptors,
+  rp__request__field_indices_by_name,
+  1,  rp__request__number_ranges,
+  (ProtobufCMessageInit) rp__request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp__cancel__field_descriptors[1] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Cancel, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rp__cancel__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+};
+static const ProtobufCIntRange rp__cancel__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor rp__cancel__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rp.Cancel",
+  "Cancel",
+  "Rp__Cancel",
+  "rp",
+  sizeof(Rp__Cancel),
+  1,
+  rp__cancel__field_descriptors,
+  rp__cancel__field_indices_by_name,
+  1,  rp__cancel__number_ranges,
+  (ProtobufCMessageInit) rp__cancel__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp__reply__field_descriptors[8] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Reply, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "outcome",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Reply, outcome),
+    &rp__outcome__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reason",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Reply, reason),
+    &rp__reason__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "status",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Reply, status),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "headers",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rp__Reply, n_headers),
+    offsetof(Rp__Reply, headers),
+    &rp__header__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Reply, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tables_generation",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Reply, tables_generation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "others_in_use",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Rp__Reply, n_others_in_use),
+    offsetof(Rp__Reply, others_in_use),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rp__reply__field_indices_by_name[] = {
+  5,   /* field[5] = body */
+  4,   /* field[4] = headers */
+  0,   /* field[0] = id */
+  7,   /* field[7] = others_in_use */
+  1,   /* field[1] = outcome */
+  2,   /* field[2] = reason */
+  3,   /* field[3] = status */
+  6,   /* field[6] = tables_generation */
+};
+static const ProtobufCIntRange rp__reply__number_ranges[2 + 1] =
+{
+  { 1, 0 },
+  { 8, 6 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor rp__reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rp.Reply",
+  "Reply",
+  "Rp__Reply",
+  "rp",
+  sizeof(Rp__Reply),
+  8,
+  rp__reply__field_descriptors,
+  rp__reply__field_indices_by_name,
+  2,  rp__reply__number_ranges,
+  (ProtobufCMessageInit) rp__reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp__tables_update__field_descriptors[1] =
+{
+  {
+    "document",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Rp__TablesUpdate, document),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rp__tables_update__field_indices_by_name[] = {
+  0,   /* field[0] = document */
+};
+static const ProtobufCIntRange rp__tables_update__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor rp__tables_update__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rp.TablesUpdate",
+  "TablesUpdate",
+  "Rp__TablesUpdate",
+  "rp",
+  sizeof(Rp__TablesUpdate),
+  1,
+  rp__tables_update__field_descriptors,
+  rp__tables_update__field_indices_by_name,
+  1,  rp__tables_update__number_ranges,
+  (ProtobufCMessageInit) rp__tables_update__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp__tables_part__field_descriptors[3] =
+{
+  {
+    "offset",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rp__TablesPart, offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "length",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rp__TablesPart, length),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "insert",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Rp__TablesPart, insert),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rp__tables_part__field_indices_by_name[] = {
+  2,   /* field[2] = insert */
+  1,   /* field[1] = length */
+  0,   /* field[0] = offset */
+};
+static const ProtobufCIntRange rp__tables_part__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor rp__tables_part__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rp.TablesPart",
+  "TablesPart",
+  "Rp__TablesPart",
+  "rp",
+  sizeof(Rp__TablesPart),
+  3,
+  rp__tables_part__field_descriptors,
+  rp__tables_part__field_indices_by_name,
+  1,  rp__tables_part__number_ranges,
+  (ProtobufCMessageInit) rp__tables_part__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp__tables_delta__field_descriptors[4] =
+{
+  {
+    "generation",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rp__TablesDelta, generation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "base_digest",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Rp__TablesDelta, base_digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "digest",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Rp__TablesDelta, digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "parts",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rp__TablesDelta, n_parts),
+    offsetof(Rp__TablesDelta, parts),
+    &rp__tables_part__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned rp__tables_delta__field_indices_by_name[] = {
+  1,   /* field[1] = base_digest */
+  2,   /* field[2] = digest */
+  0,   /* field[0] = generation */
+  3,   /* field[3] = parts */
+};
+static const ProtobufCIntRange rp__tables_delta__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor rp__tables_delta__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rp.TablesDelta",
+  "TablesDelta",
+  "Rp__TablesDelta",
+  "rp",
+  sizeof(Rp__TablesDelta),
+  4,
+  rp__tables_delta__field_descriptors,
+  rp__tables_delta__field_indices_by_name,
+  1,  rp__tables_delta__number_ranges,
+  (ProtobufCMessageInit) rp__tables_delta__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp__tables_wanted__field_descriptors[1] =
+{
   {
-    "accelerators",
-    3,
+    "generation",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Rp__Resources, accelerators),
+    offsetof(Rp__TablesWanted, generation),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned rp__resources__field_indices_by_name[] = {
-  2,   /* field[2] = accelerators */
-  0,   /* field[0] = cpu_milli */
-  1,   /* field[1] = memory_bytes */
+static const unsigned rp__tables_wanted__field_indices_by_name[] = {
+  0,   /* field[0] = generation */
 };
-static const ProtobufCIntRange rp__resources__number_ranges[1 + 1] =
+static const ProtobufCIntRange rp__tables_wanted__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 1 }
 };
-const ProtobufCMessageDescriptor rp__resources__descriptor =
+const ProtobufCMessageDescriptor rp__tables_wanted__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "rp.Resources",
-  "Resources",
-  "Rp__Resources",
+  "rp.TablesWanted",
+  "TablesWanted",
+  "Rp__TablesWanted",
   "rp",
-  sizeof(Rp__Resources),
-  3,
-  rp__resources__field_descriptors,
-  rp__resources__field_indices_by_name,
-  1,  rp__resources__number_ranges,
-  (ProtobufCMessageInit) rp__resources__init,
+  sizeof(Rp__TablesWanted),
+  1,
+  rp__tables_wanted__field_descriptors,
+  rp__tables_wanted__field_indices_by_name,
+  1,  rp__tables_wanted__number_ranges,
+  (ProtobufCMessageInit) rp__tables_wanted__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp__header__field_descriptors[2] =
+static const ProtobufCFieldDescriptor rp__shard_term__field_descriptors[2] =
 {
   {
-    "name",
+    "shard",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Rp__Header, name),
+    offsetof(Rp__ShardTerm, shard),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "value",
+    "term",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Rp__Header, value),
+    offsetof(Rp__ShardTerm, term),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned rp__header__field_indices_by_name[] = {
-  0,   /* field[0] = name */
-  1,   /* field[1] = value */
+static const unsigned rp__shard_term__field_indices_by_name[] = {
+  0,   /* field[0] = shard */
+  1,   /* field[1] = term */
 };
-static const ProtobufCIntRange rp__header__number_ranges[1 + 1] =
+static const ProtobufCIntRange rp__shard_term__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 2 }
 };
-const ProtobufCMessageDescriptor rp__header__descriptor =
+const ProtobufCMessageDescriptor rp__shard_term__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "rp.Header",
-  "Header",
-  "Rp__Header",
+  "rp.ShardTerm",
+  "ShardTerm",
+  "Rp__ShardTerm",
   "rp",
-  sizeof(Rp__Header),
+  sizeof(Rp__ShardTerm),
   2,
-  rp__header__field_descriptors,
-  rp__header__field_indices_by_name,
-  1,  rp__header__number_ranges,
-  (ProtobufCMessageInit) rp__header__init,
+  rp__shard_term__field_descriptors,
+  rp__shard_term__field_indices_by_name,
+  1,  rp__shard_term__number_ranges,
+  (ProtobufCMessageInit) rp__shard_term__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp__hello__field_descriptors[13] =
+static const ProtobufCFieldDescriptor rp__task__field_descriptors[11] =
 {
   {
-    "vm",
+    "job_id",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Rp__Hello, vm),
+    offsetof(Rp__Task, job_id),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "agent_boot_id",
+    "attempt",
     2,
     PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Task, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "shard",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Task, shard),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Task, state),
+    &rp__task_state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reason",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Task, reason),
+    &rp__reason__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "detail",
+    6,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Rp__Hello, agent_boot_id),
+    offsetof(Rp__Task, detail),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "worker_boot_id",
-    3,
+    "checkpoint",
+    7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Rp__Hello, worker_boot_id),
+    offsetof(Rp__Task, checkpoint),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "zone",
-    4,
+    "result",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Task, result),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "committed",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Task, committed),
+    &rp__resources__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "used",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Task, used),
+    &rp__resources__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "session",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Task, session),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rp__task__field_indices_by_name[] = {
+  1,   /* field[1] = attempt */
+  6,   /* field[6] = checkpoint */
+  8,   /* field[8] = committed */
+  5,   /* field[5] = detail */
+  0,   /* field[0] = job_id */
+  4,   /* field[4] = reason */
+  7,   /* field[7] = result */
+  10,   /* field[10] = session */
+  2,   /* field[2] = shard */
+  3,   /* field[3] = state */
+  9,   /* field[9] = used */
+};
+static const ProtobufCIntRange rp__task__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 11 }
+};
+const ProtobufCMessageDescriptor rp__task__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rp.Task",
+  "Task",
+  "Rp__Task",
+  "rp",
+  sizeof(Rp__Task),
+  11,
+  rp__task__field_descriptors,
+  rp__task__field_indices_by_name,
+  1,  rp__task__number_ranges,
+  (ProtobufCMessageInit) rp__task__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp__task_list__field_descriptors[3] =
+{
+  {
+    "shard",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Rp__Hello, zone),
+    offsetof(Rp__TaskList, shard),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "rack",
-    5,
+    "term",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Rp__Hello, rack),
+    offsetof(Rp__TaskList, term),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "pools",
-    6,
+    "tasks",
+    3,
     PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_STRING,
-    offsetof(Rp__Hello, n_pools),
-    offsetof(Rp__Hello, pools),
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rp__TaskList, n_tasks),
+    offsetof(Rp__TaskList, tasks),
+    &rp__task__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned rp__task_list__field_indices_by_name[] = {
+  0,   /* field[0] = shard */
+  2,   /* field[2] = tasks */
+  1,   /* field[1] = term */
+};
+static const ProtobufCIntRange rp__task_list__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor rp__task_list__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rp.TaskList",
+  "TaskList",
+  "Rp__TaskList",
+  "rp",
+  sizeof(Rp__TaskList),
+  3,
+  rp__task_list__field_descriptors,
+  rp__task_list__field_indices_by_name,
+  1,  rp__task_list__number_ranges,
+  (ProtobufCMessageInit) rp__task_list__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp__task_start__field_descriptors[11] =
+{
   {
-    "slots",
-    7,
+    "job_id",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Rp__Hello, slots),
-    NULL,
+    offsetof(Rp__TaskStart, job_id),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "connections",
-    8,
+    "attempt",
+    2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Rp__Hello, connections),
+    offsetof(Rp__TaskStart, attempt),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "capacity",
-    9,
+    "shard",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Rp__Hello, capacity),
-    &rp__resources__descriptor,
+    offsetof(Rp__TaskStart, shard),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "tables_generation",
-    10,
+    "term",
+    4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Rp__Hello, tables_generation),
+    offsetof(Rp__TaskStart, term),
     NULL,
     NULL,
     0,             /* flags */
@@ -1911,630 +4174,648 @@
   },
   {
     "session",
-    11,
+    5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Rp__Hello, session),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "draining",
-    12,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Rp__Hello, draining),
+    offsetof(Rp__TaskStart, session),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "accepts_deltas",
-    13,
+    "pool",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Rp__Hello, accepts_deltas),
-    NULL,
+    offsetof(Rp__TaskStart, pool),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned rp__hello__field_indices_by_name[] = {
-  12,   /* field[12] = accepts_deltas */
-  1,   /* field[1] = agent_boot_id */
-  8,   /* field[8] = capacity */
-  7,   /* field[7] = connections */
-  11,   /* field[11] = draining */
-  5,   /* field[5] = pools */
-  4,   /* field[4] = rack */
-  10,   /* field[10] = session */
-  6,   /* field[6] = slots */
-  9,   /* field[9] = tables_generation */
-  0,   /* field[0] = vm */
-  2,   /* field[2] = worker_boot_id */
-  3,   /* field[3] = zone */
-};
-static const ProtobufCIntRange rp__hello__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 13 }
-};
-const ProtobufCMessageDescriptor rp__hello__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "rp.Hello",
-  "Hello",
-  "Rp__Hello",
-  "rp",
-  sizeof(Rp__Hello),
-  13,
-  rp__hello__field_descriptors,
-  rp__hello__field_indices_by_name,
-  1,  rp__hello__number_ranges,
-  (ProtobufCMessageInit) rp__hello__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor rp__unended__field_descriptors[2] =
-{
   {
-    "pool",
-    1,
+    "kind",
+    7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Rp__Unended, pool),
+    offsetof(Rp__TaskStart, kind),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "remaining_ms",
-    2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_UINT32,
-    offsetof(Rp__Unended, n_remaining_ms),
-    offsetof(Rp__Unended, remaining_ms),
-    NULL,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned rp__unended__field_indices_by_name[] = {
-  0,   /* field[0] = pool */
-  1,   /* field[1] = remaining_ms */
-};
-static const ProtobufCIntRange rp__unended__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor rp__unended__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "rp.Unended",
-  "Unended",
-  "Rp__Unended",
-  "rp",
-  sizeof(Rp__Unended),
-  2,
-  rp__unended__field_descriptors,
-  rp__unended__field_indices_by_name,
-  1,  rp__unended__number_ranges,
-  (ProtobufCMessageInit) rp__unended__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor rp__welcome__field_descriptors[4] =
-{
-  {
-    "entry_id",
-    1,
+    "resources",
+    8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Rp__Welcome, entry_id),
+    offsetof(Rp__TaskStart, resources),
+    &rp__resources__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "tables_generation",
-    2,
+    "payload",
+    9,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Rp__Welcome, tables_generation),
+    offsetof(Rp__TaskStart, payload),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "entry_addresses",
-    3,
-    PROTOBUF_C_LABEL_REPEATED,
+    "checkpoint",
+    10,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
-    offsetof(Rp__Welcome, n_entry_addresses),
-    offsetof(Rp__Welcome, entry_addresses),
+    0,   /* quantifier_offset */
+    offsetof(Rp__TaskStart, checkpoint),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "unended",
-    4,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Rp__Welcome, n_unended),
-    offsetof(Rp__Welcome, unended),
-    &rp__unended__descriptor,
+    "slowdown_milli",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rp__TaskStart, slowdown_milli),
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned rp__welcome__field_indices_by_name[] = {
-  2,   /* field[2] = entry_addresses */
-  0,   /* field[0] = entry_id */
-  1,   /* field[1] = tables_generation */
-  3,   /* field[3] = unended */
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const ProtobufCIntRange rp__welcome__number_ranges[1 + 1] =
+static const unsigned rp__task_start__field_indices_by_name[] = {
+  1,   /* field[1] = attempt */
+  9,   /* field[9] = checkpoint */
+  0,   /* field[0] = job_id */
+  6,   /* field[6] = kind */
+  8,   /* field[8] = payload */
+  5,   /* field[5] = pool */
+  7,   /* field[7] = resources */
+  4,   /* field[4] = session */
+  2,   /* field[2] = shard */
+  10,   /* field[10] = slowdown_milli */
+  3,   /* field[3] = term */
+};
+static const ProtobufCIntRange rp__task_start__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 11 }
 };
-const ProtobufCMessageDescriptor rp__welcome__descriptor =
+const ProtobufCMessageDescriptor rp__task_start__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "rp.Welcome",
-  "Welcome",
-  "Rp__Welcome",
+  "rp.TaskStart",
+  "TaskStart",
+  "Rp__TaskStart",
   "rp",
-  sizeof(Rp__Welcome),
-  4,
-  rp__welcome__field_descriptors,
-  rp__welcome__field_indices_by_name,
-  1,  rp__welcome__number_ranges,
-  (ProtobufCMessageInit) rp__welcome__init,
+  sizeof(Rp__TaskStart),
+  11,
+  rp__task_start__field_descriptors,
+  rp__task_start__field_indices_by_name,
+  1,  rp__task_start__number_ranges,
+  (ProtobufCMessageInit) rp__task_start__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp__pool_load__field_descriptors[9] =
+static const ProtobufCFieldDescriptor rp__task_control__field_descriptors[6] =
 {
   {
-    "pool",
+    "job_id",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Rp__PoolLoad, pool),
+    offsetof(Rp__TaskControl, job_id),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "in_flight",
+    "attempt",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Rp__PoolLoad, in_flight),
+    offsetof(Rp__TaskControl, attempt),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "latency_us",
+    "shard",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Rp__PoolLoad, latency_us),
+    offsetof(Rp__TaskControl, shard),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "fleet_slots",
+    "term",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Rp__PoolLoad, fleet_slots),
+    offsetof(Rp__TaskControl, term),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "high_us",
+    "action",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_ENUM,
     0,   /* quantifier_offset */
-    offsetof(Rp__PoolLoad, high_us),
-    NULL,
+    offsetof(Rp__TaskControl, action),
+    &rp__task_action__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "quiet_us",
+    "share_milli",
     6,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Rp__PoolLoad, quiet_us),
+    offsetof(Rp__TaskControl, share_milli),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned rp__task_control__field_indices_by_name[] = {
+  4,   /* field[4] = action */
+  1,   /* field[1] = attempt */
+  0,   /* field[0] = job_id */
+  2,   /* field[2] = shard */
+  5,   /* field[5] = share_milli */
+  3,   /* field[3] = term */
+};
+static const ProtobufCIntRange rp__task_control__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor rp__task_control__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rp.TaskControl",
+  "TaskControl",
+  "Rp__TaskControl",
+  "rp",
+  sizeof(Rp__TaskControl),
+  6,
+  rp__task_control__field_descriptors,
+  rp__task_control__field_indices_by_name,
+  1,  rp__task_control__number_ranges,
+  (ProtobufCMessageInit) rp__task_control__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp__task_event__field_descriptors[2] =
+{
+  {
+    "task",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Rp__TaskEvent, task),
+    &rp__task__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
-    "limit_us",
-    7,
+    "term",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Rp__PoolLoad, limit_us),
+    offsetof(Rp__TaskEvent, term),
+    NULL,
     NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rp__task_event__field_indices_by_name[] = {
+  0,   /* field[0] = task */
+  1,   /* field[1] = term */
+};
+static const ProtobufCIntRange rp__task_event__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor rp__task_event__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rp.TaskEvent",
+  "TaskEvent",
+  "Rp__TaskEvent",
+  "rp",
+  sizeof(Rp__TaskEvent),
+  2,
+  rp__task_event__field_descriptors,
+  rp__task_event__field_indices_by_name,
+  1,  rp__task_event__number_ranges,
+  (ProtobufCMessageInit) rp__task_event__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp__task_ack__field_descriptors[4] =
+{
+  {
+    "job_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rp__TaskAck, job_id),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "answers_per_min",
-    8,
+    "attempt",
+    2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Rp__PoolLoad, answers_per_min),
+    offsetof(Rp__TaskAck, attempt),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "queued",
-    9,
+    "shard",
+    3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Rp__PoolLoad, queued),
+    offsetof(Rp__TaskAck, shard),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rp__TaskAck, term),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned rp__pool_load__field_indices_by_name[] = {
-  7,   /* field[7] = answers_per_min */
-  3,   /* field[3] = fleet_slots */
-  4,   /* field[4] = high_us */
-  1,   /* field[1] = in_flight */
-  2,   /* field[2] = latency_us */
-  6,   /* field[6] = limit_us */
-  0,   /* field[0] = pool */
-  8,   /* field[8] = queued */
-  5,   /* field[5] = quiet_us */
+static const unsigned rp__task_ack__field_indices_by_name[] = {
+  1,   /* field[1] = attempt */
+  0,   /* field[0] = job_id */
+  2,   /* field[2] = shard */
+  3,   /* field[3] = term */
 };
-static const ProtobufCIntRange rp__pool_load__number_ranges[1 + 1] =
+static const ProtobufCIntRange rp__task_ack__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor rp__pool_load__descriptor =
+const ProtobufCMessageDescriptor rp__task_ack__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "rp.PoolLoad",
-  "PoolLoad",
-  "Rp__PoolLoad",
+  "rp.TaskAck",
+  "TaskAck",
+  "Rp__TaskAck",
   "rp",
-  sizeof(Rp__PoolLoad),
-  9,
-  rp__pool_load__field_descriptors,
-  rp__pool_load__field_indices_by_name,
-  1,  rp__pool_load__number_ranges,
-  (ProtobufCMessageInit) rp__pool_load__init,
+  sizeof(Rp__TaskAck),
+  4,
+  rp__task_ack__field_descriptors,
+  rp__task_ack__field_indices_by_name,
+  1,  rp__task_ack__number_ranges,
+  (ProtobufCMessageInit) rp__task_ack__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp__kind_load__field_descriptors[5] =
+static const ProtobufCFieldDescriptor rp__grant_request__field_descriptors[2] =
 {
   {
-    "kind",
+    "sequence",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Rp__KindLoad, kind),
+    offsetof(Rp__GrantRequest, sequence),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "tasks",
+    "session",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Rp__KindLoad, tasks),
+    offsetof(Rp__GrantRequest, session),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned rp__grant_request__field_indices_by_name[] = {
+  0,   /* field[0] = sequence */
+  1,   /* field[1] = session */
+};
+static const ProtobufCIntRange rp__grant_request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor rp__grant_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rp.GrantRequest",
+  "GrantRequest",
+  "Rp__GrantRequest",
+  "rp",
+  sizeof(Rp__GrantRequest),
+  2,
+  rp__grant_request__field_descriptors,
+  rp__grant_request__field_indices_by_name,
+  1,  rp__grant_request__number_ranges,
+  (ProtobufCMessageInit) rp__grant_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp__grant__field_descriptors[2] =
+{
   {
-    "throttled",
-    3,
+    "sequence",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Rp__KindLoad, throttled),
+    offsetof(Rp__Grant, sequence),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "cpu_milli",
-    4,
+    "fenced_session",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Rp__KindLoad, cpu_milli),
-    NULL,
+    offsetof(Rp__Grant, fenced_session),
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "used",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Rp__KindLoad, used),
-    &rp__resources__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned rp__kind_load__field_indices_by_name[] = {
-  3,   /* field[3] = cpu_milli */
-  0,   /* field[0] = kind */
-  1,   /* field[1] = tasks */
-  2,   /* field[2] = throttled */
-  4,   /* field[4] = used */
+static const unsigned rp__grant__field_indices_by_name[] = {
+  1,   /* field[1] = fenced_session */
+  0,   /* field[0] = sequence */
 };
-static const ProtobufCIntRange rp__kind_load__number_ranges[1 + 1] =
+static const ProtobufCIntRange rp__grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor rp__kind_load__descriptor =
+const ProtobufCMessageDescriptor rp__grant__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "rp.KindLoad",
-  "KindLoad",
-  "Rp__KindLoad",
+  "rp.Grant",
+  "Grant",
+  "Rp__Grant",
   "rp",
-  sizeof(Rp__KindLoad),
-  5,
-  rp__kind_load__field_descriptors,
-  rp__kind_load__field_indices_by_name,
-  1,  rp__kind_load__number_ranges,
-  (ProtobufCMessageInit) rp__kind_load__init,
+  sizeof(Rp__Grant),
+  2,
+  rp__grant__field_descriptors,
+  rp__grant__field_indices_by_name,
+  1,  rp__grant__number_ranges,
+  (ProtobufCMessageInit) rp__grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp__report__field_descriptors[9] =
+static const ProtobufCFieldDescriptor rp__peer_hello__field_descriptors[5] =
 {
   {
-    "slots_in_use",
+    "entry_id",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Rp__Report, slots_in_use),
-    NULL,
+    offsetof(Rp__PeerHello, entry_id),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "committed",
+    "tables_generation",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Rp__Report, committed),
-    &rp__resources__descriptor,
+    offsetof(Rp__PeerHello, tables_generation),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "used",
+    "zone",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Rp__Report, used),
-    &rp__resources__descriptor,
+    offsetof(Rp__PeerHello, zone),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "draining",
+    "accepts_deltas",
     4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Rp__Report, draining),
+    offsetof(Rp__PeerHello, accepts_deltas),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "pools",
+    "knows_members",
     5,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Rp__Report, n_pools),
-    offsetof(Rp__Report, pools),
-    &rp__pool_load__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "tables_generation",
-    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Rp__Report, tables_generation),
+    offsetof(Rp__PeerHello, knows_members),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned rp__peer_hello__field_indices_by_name[] = {
+  3,   /* field[3] = accepts_deltas */
+  0,   /* field[0] = entry_id */
+  4,   /* field[4] = knows_members */
+  1,   /* field[1] = tables_generation */
+  2,   /* field[2] = zone */
+};
+static const ProtobufCIntRange rp__peer_hello__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor rp__peer_hello__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rp.PeerHello",
+  "PeerHello",
+  "Rp__PeerHello",
+  "rp",
+  sizeof(Rp__PeerHello),
+  5,
+  rp__peer_hello__field_descriptors,
+  rp__peer_hello__field_indices_by_name,
+  1,  rp__peer_hello__number_ranges,
+  (ProtobufCMessageInit) rp__peer_hello__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp__member__field_descriptors[2] =
+{
   {
-    "session",
-    7,
+    "entry_id",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Rp__Report, session),
-    NULL,
+    offsetof(Rp__Member, entry_id),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "worker_boot_id",
-    8,
+    "create_revision",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Rp__Report, worker_boot_id),
+    offsetof(Rp__Member, create_revision),
     NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "kinds",
-    9,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Rp__Report, n_kinds),
-    offsetof(Rp__Report, kinds),
-    &rp__kind_load__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned rp__report__field_indices_by_name[] = {
-  1,   /* field[1] = committed */
-  3,   /* field[3] = draining */
-  8,   /* field[8] = kinds */
-  4,   /* field[4] = pools */
-  6,   /* field[6] = session */
-  0,   /* field[0] = slots_in_use */
-  5,   /* field[5] = tables_generation */
-  2,   /* field[2] = used */
-  7,   /* field[7] = worker_boot_id */
+static const unsigned rp__member__field_indices_by_name[] = {
+  1,   /* field[1] = create_revision */
+  0,   /* field[0] = entry_id */
 };
-static const ProtobufCIntRange rp__report__number_ranges[1 + 1] =
+static const ProtobufCIntRange rp__member__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor rp__report__descriptor =
+const ProtobufCMessageDescriptor rp__member__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "rp.Report",
-  "Report",
-  "Rp__Report",
+  "rp.Member",
+  "Member",
+  "Rp__Member",
   "rp",
-  sizeof(Rp__Report),
-  9,
-  rp__report__field_descriptors,
-  rp__report__field_indices_by_name,
-  1,  rp__report__number_ranges,
-  (ProtobufCMessageInit) rp__report__init,
+  sizeof(Rp__Member),
+  2,
+  rp__member__field_descriptors,
+  rp__member__field_indices_by_name,
+  1,  rp__member__number_ranges,
+  (ProtobufCMessageInit) rp__member__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp__fleet_info__field_descriptors[2] =
+static const ProtobufCFieldDescriptor rp__members__field_descriptors[2] =
 {
   {
-    "pools",
+    "instance",
     1,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Rp__FleetInfo, n_pools),
-    offsetof(Rp__FleetInfo, pools),
-    &rp__pool_load__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Members, instance),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "entry_addresses",
+    "members",
     2,
     PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_STRING,
-    offsetof(Rp__FleetInfo, n_entry_addresses),
-    offsetof(Rp__FleetInfo, entry_addresses),
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rp__Members, n_members),
+    offsetof(Rp__Members, members),
+    &rp__member__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned rp__fleet_info__field_indices_by_name[] = {
-  1,   /* field[1] = entry_addresses */
-  0,   /* field[0] = pools */
+static const unsigned rp__members__field_indices_by_name[] = {
+  0,   /* field[0] = instance */
+  1,   /* field[1] = members */
 };
-static const ProtobufCIntRange rp__fleet_info__number_ranges[1 + 1] =
+static const ProtobufCIntRange rp__members__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 2 }
 };
-const ProtobufCMessageDescriptor rp__fleet_info__descriptor =
+const ProtobufCMessageDescriptor rp__members__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "rp.FleetInfo",
-  "FleetInfo",
-  "Rp__FleetInfo",
+  "rp.Members",
+  "Members",
+  "Rp__Members",
   "rp",
-  sizeof(Rp__FleetInfo),
+  sizeof(Rp__Members),
   2,
-  rp__fleet_info__field_descriptors,
-  rp__fleet_info__field_indices_by_name,
-  1,  rp__fleet_info__number_ranges,
-  (ProtobufCMessageInit) rp__fleet_info__init,
+  rp__members__field_descriptors,
+  rp__members__field_indices_by_name,
+  1,  rp__members__number_ranges,
+  (ProtobufCMessageInit) rp__members__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp__request__field_descriptors[10] =
+static const ProtobufCFieldDescriptor rp__promise_request__field_descriptors[3] =
 {
   {
     "id",
@@ -2542,192 +4823,306 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Rp__Request, id),
+    offsetof(Rp__PromiseRequest, id),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "pool",
+    "members",
     2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Rp__Request, pool),
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rp__PromiseRequest, n_members),
+    offsetof(Rp__PromiseRequest, members),
+    &rp__member__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "idempotent",
+    "fences_revision",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Rp__Request, idempotent),
+    offsetof(Rp__PromiseRequest, fences_revision),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned rp__promise_request__field_indices_by_name[] = {
+  2,   /* field[2] = fences_revision */
+  0,   /* field[0] = id */
+  1,   /* field[1] = members */
+};
+static const ProtobufCIntRange rp__promise_request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor rp__promise_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rp.PromiseRequest",
+  "PromiseRequest",
+  "Rp__PromiseRequest",
+  "rp",
+  sizeof(Rp__PromiseRequest),
+  3,
+  rp__promise_request__field_descriptors,
+  rp__promise_request__field_indices_by_name,
+  1,  rp__promise_request__number_ranges,
+  (ProtobufCMessageInit) rp__promise_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp__fence__field_descriptors[3] =
+{
   {
-    "timeout_ms",
-    4,
+    "vm",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Rp__Request, timeout_ms),
+    offsetof(Rp__Fence, vm),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "session",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rp__Fence, session),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "tables_generation",
-    5,
+    "revision",
+    3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Rp__Request, tables_generation),
+    offsetof(Rp__Fence, revision),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned rp__fence__field_indices_by_name[] = {
+  2,   /* field[2] = revision */
+  1,   /* field[1] = session */
+  0,   /* field[0] = vm */
+};
+static const ProtobufCIntRange rp__fence__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor rp__fence__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rp.Fence",
+  "Fence",
+  "Rp__Fence",
+  "rp",
+  sizeof(Rp__Fence),
+  3,
+  rp__fence__field_descriptors,
+  rp__fence__field_indices_by_name,
+  1,  rp__fence__number_ranges,
+  (ProtobufCMessageInit) rp__fence__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp__promise_reply__field_descriptors[3] =
+{
   {
-    "method",
-    6,
+    "id",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Rp__Request, method),
+    offsetof(Rp__PromiseReply, id),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "target",
-    7,
+    "refusal",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_ENUM,
     0,   /* quantifier_offset */
-    offsetof(Rp__Request, target),
+    offsetof(Rp__PromiseReply, refusal),
+    &rp__promise_refusal__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "headers",
-    8,
+    "fences",
+    3,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Rp__Request, n_headers),
-    offsetof(Rp__Request, headers),
-    &rp__header__descriptor,
+    offsetof(Rp__PromiseReply, n_fences),
+    offsetof(Rp__PromiseReply, fences),
+    &rp__fence__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned rp__promise_reply__field_indices_by_name[] = {
+  2,   /* field[2] = fences */
+  0,   /* field[0] = id */
+  1,   /* field[1] = refusal */
+};
+static const ProtobufCIntRange rp__promise_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor rp__promise_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rp.PromiseReply",
+  "PromiseReply",
+  "Rp__PromiseReply",
+  "rp",
+  sizeof(Rp__PromiseReply),
+  3,
+  rp__promise_reply__field_descriptors,
+  rp__promise_reply__field_indices_by_name,
+  1,  rp__promise_reply__number_ranges,
+  (ProtobufCMessageInit) rp__promise_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp__shard_claim__field_descriptors[2] =
+{
   {
-    "body",
-    9,
+    "shard",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Rp__Request, body),
+    offsetof(Rp__ShardClaim, shard),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "request_id",
-    10,
+    "term",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Rp__Request, request_id),
+    offsetof(Rp__ShardClaim, term),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned rp__request__field_indices_by_name[] = {
-  8,   /* field[8] = body */
-  7,   /* field[7] = headers */
-  0,   /* field[0] = id */
-  2,   /* field[2] = idempotent */
-  5,   /* field[5] = method */
-  1,   /* field[1] = pool */
-  9,   /* field[9] = request_id */
-  4,   /* field[4] = tables_generation */
-  6,   /* field[6] = target */
-  3,   /* field[3] = timeout_ms */
+static const unsigned rp__shard_claim__field_indices_by_name[] = {
+  0,   /* field[0] = shard */
+  1,   /* field[1] = term */
 };
-static const ProtobufCIntRange rp__request__number_ranges[1 + 1] =
+static const ProtobufCIntRange rp__shard_claim__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor rp__request__descriptor =
+const ProtobufCMessageDescriptor rp__shard_claim__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "rp.Request",
-  "Request",
-  "Rp__Request",
+  "rp.ShardClaim",
+  "ShardClaim",
+  "Rp__ShardClaim",
   "rp",
-  sizeof(Rp__Request),
-  10,
-  rp__request__field_descriptors,
-  rp__request__field_indices_by_name,
-  1,  rp__request__number_ranges,
-  (ProtobufCMessageInit) rp__request__init,
+  sizeof(Rp__ShardClaim),
+  2,
+  rp__shard_claim__field_descriptors,
+  rp__shard_claim__field_indices_by_name,
+  1,  rp__shard_claim__number_ranges,
+  (ProtobufCMessageInit) rp__shard_claim__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp__cancel__field_descriptors[1] =
+static const ProtobufCFieldDescriptor rp__peer_state__field_descriptors[3] =
 {
   {
-    "id",
+    "pools",
     1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rp__PeerState, n_pools),
+    offsetof(Rp__PeerState, pools),
+    &rp__pool_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "claims",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rp__PeerState, n_claims),
+    offsetof(Rp__PeerState, claims),
+    &rp__shard_claim__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tables_generation",
+    3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Rp__Cancel, id),
+    offsetof(Rp__PeerState, tables_generation),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned rp__cancel__field_indices_by_name[] = {
-  0,   /* field[0] = id */
+static const unsigned rp__peer_state__field_indices_by_name[] = {
+  1,   /* field[1] = claims */
+  0,   /* field[0] = pools */
+  2,   /* field[2] = tables_generation */
 };
-static const ProtobufCIntRange rp__cancel__number_ranges[1 + 1] =
+static const ProtobufCIntRange rp__peer_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 3 }
 };
-const ProtobufCMessageDescriptor rp__cancel__descriptor =
+const ProtobufCMessageDescriptor rp__peer_state__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "rp.Cancel",
-  "Cancel",
-  "Rp__Cancel",
+  "rp.PeerState",
+  "PeerState",
+  "Rp__PeerState",
   "rp",
-  sizeof(Rp__Cancel),
-  1,
-  rp__cancel__field_descriptors,
-  rp__cancel__field_indices_by_name,
-  1,  rp__cancel__number_ranges,
-  (ProtobufCMessageInit) rp__cancel__init,
+  sizeof(Rp__PeerState),
+  3,
+  rp__peer_state__field_descriptors,
+  rp__peer_state__field_indices_by_name,
+  1,  rp__peer_state__number_ranges,
+  (ProtobufCMessageInit) rp__peer_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp__reply__field_descriptors[8] =
+static const ProtobufCFieldDescriptor rp__peer_call__field_descriptors[4] =
 {
   {
     "id",
