@@ -2735,1770 +5130,1852 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Rp__Reply, id),
+    offsetof(Rp__PeerCall, id),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "outcome",
+    "op",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_ENUM,
     0,   /* quantifier_offset */
-    offsetof(Rp__Reply, outcome),
-    &rp__outcome__descriptor,
+    offsetof(Rp__PeerCall, op),
+    &rp__peer_op__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "reason",
+    "job_id",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Rp__Reply, reason),
-    &rp__reason__descriptor,
+    offsetof(Rp__PeerCall, job_id),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "status",
+    "spec",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Rp__Reply, status),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "headers",
-    5,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Rp__Reply, n_headers),
-    offsetof(Rp__Reply, headers),
-    &rp__header__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "body",
-    6,
-    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Rp__Reply, body),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "tables_generation",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Rp__Reply, tables_generation),
+    offsetof(Rp__PeerCall, spec),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "others_in_use",
-    9,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_UINT32,
-    offsetof(Rp__Reply, n_others_in_use),
-    offsetof(Rp__Reply, others_in_use),
-    NULL,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
-static const unsigned rp__reply__field_indices_by_name[] = {
-  5,   /* field[5] = body */
-  4,   /* field[4] = headers */
+static const unsigned rp__peer_call__field_indices_by_name[] = {
   0,   /* field[0] = id */
-  7,   /* field[7] = others_in_use */
-  1,   /* field[1] = outcome */
-  2,   /* field[2] = reason */
-  3,   /* field[3] = status */
-  6,   /* field[6] = tables_generation */
-};
-static const ProtobufCIntRange rp__reply__number_ranges[2 + 1] =
-{
-  { 1, 0 },
-  { 8, 6 },
-  { 0, 8 }
-};
-const ProtobufCMessageDescriptor rp__reply__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "rp.Reply",
-  "Reply",
-  "Rp__Reply",
-  "rp",
-  sizeof(Rp__Reply),
-  8,
-  rp__reply__field_descriptors,
-  rp__reply__field_indices_by_name,
-  2,  rp__reply__number_ranges,
-  (ProtobufCMessageInit) rp__reply__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor rp__tables_update__field_descriptors[1] =
-{
-  {
-    "document",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Rp__TablesUpdate, document),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned rp__tables_update__field_indices_by_name[] = {
-  0,   /* field[0] = document */
+  2,   /* field[2] = job_id */
+  1,   /* field[1] = op */
+  3,   /* field[3] = spec */
 };
-static const ProtobufCIntRange rp__tables_update__number_ranges[1 + 1] =
+static const ProtobufCIntRange rp__peer_call__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor rp__tables_update__descriptor =
+const ProtobufCMessageDescriptor rp__peer_call__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "rp.TablesUpdate",
-  "TablesUpdate",
-  "Rp__TablesUpdate",
+  "rp.PeerCall",
+  "PeerCall",
+  "Rp__PeerCall",
   "rp",
-  sizeof(Rp__TablesUpdate),
-  1,
-  rp__tables_update__field_descriptors,
-  rp__tables_update__field_indices_by_name,
-  1,  rp__tables_update__number_ranges,
-  (ProtobufCMessageInit) rp__tables_update__init,
+  sizeof(Rp__PeerCall),
+  4,
+  rp__peer_call__field_descriptors,
+  rp__peer_call__field_indices_by_name,
+  1,  rp__peer_call__number_ranges,
+  (ProtobufCMessageInit) rp__peer_call__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp__tables_part__field_descriptors[3] =
+static const ProtobufCFieldDescriptor rp__peer_reply__field_descriptors[3] =
 {
   {
-    "offset",
+    "id",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Rp__TablesPart, offset),
+    offsetof(Rp__PeerReply, id),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "length",
+    "status",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Rp__TablesPart, length),
+    offsetof(Rp__PeerReply, status),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "insert",
+    "body",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Rp__TablesPart, insert),
+    offsetof(Rp__PeerReply, body),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned rp__tables_part__field_indices_by_name[] = {
-  2,   /* field[2] = insert */
-  1,   /* field[1] = length */
-  0,   /* field[0] = offset */
+static const unsigned rp__peer_reply__field_indices_by_name[] = {
+  2,   /* field[2] = body */
+  0,   /* field[0] = id */
+  1,   /* field[1] = status */
 };
-static const ProtobufCIntRange rp__tables_part__number_ranges[1 + 1] =
+static const ProtobufCIntRange rp__peer_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 3 }
 };
-const ProtobufCMessageDescriptor rp__tables_part__descriptor =
+const ProtobufCMessageDescriptor rp__peer_reply__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "rp.TablesPart",
-  "TablesPart",
-  "Rp__TablesPart",
+  "rp.PeerReply",
+  "PeerReply",
+  "Rp__PeerReply",
   "rp",
-  sizeof(Rp__TablesPart),
+  sizeof(Rp__PeerReply),
   3,
-  rp__tables_part__field_descriptors,
-  rp__tables_part__field_indices_by_name,
-  1,  rp__tables_part__number_ranges,
-  (ProtobufCMessageInit) rp__tables_part__init,
+  rp__peer_reply__field_descriptors,
+  rp__peer_reply__field_indices_by_name,
+  1,  rp__peer_reply__number_ranges,
+  (ProtobufCMessageInit) rp__peer_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp__tables_delta__field_descriptors[4] =
+static const ProtobufCFieldDescriptor rp__leader_hello__field_descriptors[2] =
 {
   {
-    "generation",
+    "fence",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Rp__TablesDelta, generation),
+    offsetof(Rp__LeaderHello, fence),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "base_digest",
+    "entry",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Rp__TablesDelta, base_digest),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "digest",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Rp__TablesDelta, digest),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "parts",
-    4,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Rp__TablesDelta, n_parts),
-    offsetof(Rp__TablesDelta, parts),
-    &rp__tables_part__descriptor,
+    offsetof(Rp__LeaderHello, entry),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned rp__tables_delta__field_indices_by_name[] = {
-  1,   /* field[1] = base_digest */
-  2,   /* field[2] = digest */
-  0,   /* field[0] = generation */
-  3,   /* field[3] = parts */
+static const unsigned rp__leader_hello__field_indices_by_name[] = {
+  1,   /* field[1] = entry */
+  0,   /* field[0] = fence */
 };
-static const ProtobufCIntRange rp__tables_delta__number_ranges[1 + 1] =
+static const ProtobufCIntRange rp__leader_hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor rp__tables_delta__descriptor =
+const ProtobufCMessageDescriptor rp__leader_hello__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "rp.TablesDelta",
-  "TablesDelta",
-  "Rp__TablesDelta",
+  "rp.LeaderHello",
+  "LeaderHello",
+  "Rp__LeaderHello",
   "rp",
-  sizeof(Rp__TablesDelta),
-  4,
-  rp__tables_delta__field_descriptors,
-  rp__tables_delta__field_indices_by_name,
-  1,  rp__tables_delta__number_ranges,
-  (ProtobufCMessageInit) rp__tables_delta__init,
+  sizeof(Rp__LeaderHello),
+  2,
+  rp__leader_hello__field_descriptors,
+  rp__leader_hello__field_indices_by_name,
+  1,  rp__leader_hello__number_ranges,
+  (ProtobufCMessageInit) rp__leader_hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp__tables_wanted__field_descriptors[1] =
+static const ProtobufCFieldDescriptor rp__node_beat__field_descriptors[1] =
 {
   {
-    "generation",
+    "fence",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Rp__TablesWanted, generation),
+    offsetof(Rp__NodeBeat, fence),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned rp__tables_wanted__field_indices_by_name[] = {
-  0,   /* field[0] = generation */
+static const unsigned rp__node_beat__field_indices_by_name[] = {
+  0,   /* field[0] = fence */
 };
-static const ProtobufCIntRange rp__tables_wanted__number_ranges[1 + 1] =
+static const ProtobufCIntRange rp__node_beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 1 }
 };
-const ProtobufCMessageDescriptor rp__tables_wanted__descriptor =
+const ProtobufCMessageDescriptor rp__node_beat__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "rp.TablesWanted",
-  "TablesWanted",
-  "Rp__TablesWanted",
+  "rp.NodeBeat",
+  "NodeBeat",
+  "Rp__NodeBeat",
   "rp",
-  sizeof(Rp__TablesWanted),
+  sizeof(Rp__NodeBeat),
   1,
-  rp__tables_wanted__field_descriptors,
-  rp__tables_wanted__field_indices_by_name,
-  1,  rp__tables_wanted__number_ranges,
-  (ProtobufCMessageInit) rp__tables_wanted__init,
+  rp__node_beat__field_descriptors,
+  rp__node_beat__field_indices_by_name,
+  1,  rp__node_beat__number_ranges,
+  (ProtobufCMessageInit) rp__node_beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp__shard_term__field_descriptors[2] =
+static const ProtobufCFieldDescriptor rp__run_name__field_descriptors[2] =
 {
   {
-    "shard",
+    "task",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Rp__ShardTerm, shard),
-    NULL,
+    offsetof(Rp__RunName, task),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "term",
+    "attempt",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Rp__ShardTerm, term),
+    offsetof(Rp__RunName, attempt),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned rp__shard_term__field_indices_by_name[] = {
-  0,   /* field[0] = shard */
-  1,   /* field[1] = term */
+static const unsigned rp__run_name__field_indices_by_name[] = {
+  1,   /* field[1] = attempt */
+  0,   /* field[0] = task */
 };
-static const ProtobufCIntRange rp__shard_term__number_ranges[1 + 1] =
+static const ProtobufCIntRange rp__run_name__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 2 }
 };
-const ProtobufCMessageDescriptor rp__shard_term__descriptor =
+const ProtobufCMessageDescriptor rp__run_name__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "rp.ShardTerm",
-  "ShardTerm",
-  "Rp__ShardTerm",
+  "rp.RunName",
+  "RunName",
+  "Rp__RunName",
   "rp",
-  sizeof(Rp__ShardTerm),
+  sizeof(Rp__RunName),
   2,
-  rp__shard_term__field_descriptors,
-  rp__shard_term__field_indices_by_name,
-  1,  rp__shard_term__number_ranges,
-  (ProtobufCMessageInit) rp__shard_term__init,
+  rp__run_name__field_descriptors,
+  rp__run_name__field_indices_by_name,
+  1,  rp__run_name__number_ranges,
+  (ProtobufCMessageInit) rp__run_name__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp__task__field_descriptors[11] =
+static const ProtobufCFieldDescriptor rp__run_start__field_descriptors[6] =
 {
   {
-    "job_id",
+    "run",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Rp__Task, job_id),
+    offsetof(Rp__RunStart, run),
+    &rp__run_name__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "attempt",
+    "payload",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Rp__Task, attempt),
+    offsetof(Rp__RunStart, payload),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "shard",
+    "checkpoint",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Rp__Task, shard),
-    NULL,
+    offsetof(Rp__RunStart, checkpoint),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "state",
+    "ticket",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Rp__Task, state),
-    &rp__task_state__descriptor,
+    offsetof(Rp__RunStart, ticket),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "reason",
+    "target_ms",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Rp__Task, reason),
-    &rp__reason__descriptor,
+    offsetof(Rp__RunStart, target_ms),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "detail",
+    "fills",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Rp__Task, detail),
+    offsetof(Rp__RunStart, fills),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned rp__run_start__field_indices_by_name[] = {
+  2,   /* field[2] = checkpoint */
+  5,   /* field[5] = fills */
+  1,   /* field[1] = payload */
+  0,   /* field[0] = run */
+  4,   /* field[4] = target_ms */
+  3,   /* field[3] = ticket */
+};
+static const ProtobufCIntRange rp__run_start__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor rp__run_start__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rp.RunStart",
+  "RunStart",
+  "Rp__RunStart",
+  "rp",
+  sizeof(Rp__RunStart),
+  6,
+  rp__run_start__field_descriptors,
+  rp__run_start__field_indices_by_name,
+  1,  rp__run_start__number_ranges,
+  (ProtobufCMessageInit) rp__run_start__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp__vm_orders__field_descriptors[7] =
+{
   {
-    "checkpoint",
-    7,
+    "fence",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Rp__Task, checkpoint),
+    offsetof(Rp__VmOrders, fence),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "result",
-    8,
+    "worker_id",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Rp__Task, result),
-    NULL,
+    offsetof(Rp__VmOrders, worker_id),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "committed",
-    9,
+    "worker_born_ms",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Rp__Task, committed),
-    &rp__resources__descriptor,
+    offsetof(Rp__VmOrders, worker_born_ms),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "used",
-    10,
+    "lease_until_ms",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Rp__Task, used),
-    &rp__resources__descriptor,
+    offsetof(Rp__VmOrders, lease_until_ms),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "session",
-    11,
+    "ended_through",
+    5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Rp__Task, session),
+    offsetof(Rp__VmOrders, ended_through),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "starts",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rp__VmOrders, n_starts),
+    offsetof(Rp__VmOrders, starts),
+    &rp__run_start__descriptor,
     NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stops",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rp__VmOrders, n_stops),
+    offsetof(Rp__VmOrders, stops),
+    &rp__run_name__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned rp__task__field_indices_by_name[] = {
-  1,   /* field[1] = attempt */
-  6,   /* field[6] = checkpoint */
-  8,   /* field[8] = committed */
-  5,   /* field[5] = detail */
-  0,   /* field[0] = job_id */
-  4,   /* field[4] = reason */
-  7,   /* field[7] = result */
-  10,   /* field[10] = session */
-  2,   /* field[2] = shard */
-  3,   /* field[3] = state */
-  9,   /* field[9] = used */
+static const unsigned rp__vm_orders__field_indices_by_name[] = {
+  4,   /* field[4] = ended_through */
+  0,   /* field[0] = fence */
+  3,   /* field[3] = lease_until_ms */
+  5,   /* field[5] = starts */
+  6,   /* field[6] = stops */
+  2,   /* field[2] = worker_born_ms */
+  1,   /* field[1] = worker_id */
 };
-static const ProtobufCIntRange rp__task__number_ranges[1 + 1] =
+static const ProtobufCIntRange rp__vm_orders__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 7 }
 };
-const ProtobufCMessageDescriptor rp__task__descriptor =
+const ProtobufCMessageDescriptor rp__vm_orders__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "rp.Task",
-  "Task",
-  "Rp__Task",
+  "rp.VmOrders",
+  "VmOrders",
+  "Rp__VmOrders",
   "rp",
-  sizeof(Rp__Task),
-  11,
-  rp__task__field_descriptors,
-  rp__task__field_indices_by_name,
-  1,  rp__task__number_ranges,
-  (ProtobufCMessageInit) rp__task__init,
+  sizeof(Rp__VmOrders),
+  7,
+  rp__vm_orders__field_descriptors,
+  rp__vm_orders__field_indices_by_name,
+  1,  rp__vm_orders__number_ranges,
+  (ProtobufCMessageInit) rp__vm_orders__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp__task_list__field_descriptors[3] =
+static const ProtobufCFieldDescriptor rp__worker_info__field_descriptors[11] =
 {
   {
-    "shard",
-    1,
+    "worker_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rp__WorkerInfo, worker_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rp__WorkerInfo, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pool",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rp__WorkerInfo, pool),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zone",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rp__WorkerInfo, zone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "capacity",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Rp__WorkerInfo, capacity),
+    &rp__resources__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "labels",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Rp__WorkerInfo, n_labels),
+    offsetof(Rp__WorkerInfo, labels),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "draining",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rp__WorkerInfo, draining),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "remaining_ms",
+    8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Rp__TaskList, shard),
+    offsetof(Rp__WorkerInfo, remaining_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "term",
-    2,
+    "gone",
+    9,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Rp__TaskList, term),
+    offsetof(Rp__WorkerInfo, gone),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "tasks",
-    3,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Rp__TaskList, n_tasks),
-    offsetof(Rp__TaskList, tasks),
-    &rp__task__descriptor,
+    "rack",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rp__WorkerInfo, rack),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Rp__WorkerInfo, sequence),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned rp__task_list__field_indices_by_name[] = {
-  0,   /* field[0] = shard */
-  2,   /* field[2] = tasks */
-  1,   /* field[1] = term */
+static const unsigned rp__worker_info__field_indices_by_name[] = {
+  1,   /* field[1] = born_ms */
+  4,   /* field[4] = capacity */
+  6,   /* field[6] = draining */
+  8,   /* field[8] = gone */
+  5,   /* field[5] = labels */
+  2,   /* field[2] = pool */
+  9,   /* field[9] = rack */
+  7,   /* field[7] = remaining_ms */
+  10,   /* field[10] = sequence */
+  0,   /* field[0] = worker_id */
+  3,   /* field[3] = zone */
 };
-static const ProtobufCIntRange rp__task_list__number_ranges[1 + 1] =
+static const ProtobufCIntRange rp__worker_info__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 11 }
 };
-const ProtobufCMessageDescriptor rp__task_list__descriptor =
+const ProtobufCMessageDescriptor rp__worker_info__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "rp.TaskList",
-  "TaskList",
-  "Rp__TaskList",
+  "rp.WorkerInfo",
+  "WorkerInfo",
+  "Rp__WorkerInfo",
   "rp",
-  sizeof(Rp__TaskList),
-  3,
-  rp__task_list__field_descriptors,
-  rp__task_list__field_indices_by_name,
-  1,  rp__task_list__number_ranges,
-  (ProtobufCMessageInit) rp__task_list__init,
+  sizeof(Rp__WorkerInfo),
+  11,
+  rp__worker_info__field_descriptors,
+  rp__worker_info__field_indices_by_name,
+  1,  rp__worker_info__number_ranges,
+  (ProtobufCMessageInit) rp__worker_info__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp__task_start__field_descriptors[11] =
+static const ProtobufCFieldDescriptor rp__run_row__field_descriptors[4] =
 {
   {
-    "job_id",
+    "run",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Rp__TaskStart, job_id),
+    offsetof(Rp__RunRow, run),
+    &rp__run_name__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "attempt",
+    "checkpoint",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Rp__TaskStart, attempt),
-    NULL,
+    offsetof(Rp__RunRow, checkpoint),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "shard",
+    "percent",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Rp__TaskStart, shard),
+    offsetof(Rp__RunRow, percent),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "term",
+    "figure",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Rp__TaskStart, term),
+    offsetof(Rp__RunRow, figure),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned rp__run_row__field_indices_by_name[] = {
+  1,   /* field[1] = checkpoint */
+  3,   /* field[3] = figure */
+  2,   /* field[2] = percent */
+  0,   /* field[0] = run */
+};
+static const ProtobufCIntRange rp__run_row__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor rp__run_row__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rp.RunRow",
+  "RunRow",
+  "Rp__RunRow",
+  "rp",
+  sizeof(Rp__RunRow),
+  4,
+  rp__run_row__field_descriptors,
+  rp__run_row__field_indices_by_name,
+  1,  rp__run_row__number_ranges,
+  (ProtobufCMessageInit) rp__run_row__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp__run_end__field_descriptors[4] =
+{
   {
-    "session",
-    5,
+    "number",
+    1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Rp__TaskStart, session),
+    offsetof(Rp__RunEnd, number),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "pool",
-    6,
+    "run",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Rp__TaskStart, pool),
+    offsetof(Rp__RunEnd, run),
+    &rp__run_name__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
     "kind",
-    7,
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_ENUM,
     0,   /* quantifier_offset */
-    offsetof(Rp__TaskStart, kind),
+    offsetof(Rp__RunEnd, kind),
+    &rp__run_end_kind__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "resources",
-    8,
+    "checkpoint",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Rp__TaskStart, resources),
-    &rp__resources__descriptor,
+    offsetof(Rp__RunEnd, checkpoint),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned rp__run_end__field_indices_by_name[] = {
+  3,   /* field[3] = checkpoint */
+  2,   /* field[2] = kind */
+  0,   /* field[0] = number */
+  1,   /* field[1] = run */
+};
+static const ProtobufCIntRange rp__run_end__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor rp__run_end__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rp.RunEnd",
+  "RunEnd",
+  "Rp__RunEnd",
+  "rp",
+  sizeof(Rp__RunEnd),
+  4,
+  rp__run_end__field_descriptors,
+  rp__run_end__field_indices_by_name,
+  1,  rp__run_end__number_ranges,
+  (ProtobufCMessageInit) rp__run_end__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp__run_answer__field_descriptors[3] =
+{
   {
-    "payload",
-    9,
+    "run",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Rp__TaskStart, payload),
-    NULL,
+    offsetof(Rp__RunAnswer, run),
+    &rp__run_name__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "checkpoint",
-    10,
+    "started",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Rp__TaskStart, checkpoint),
+    offsetof(Rp__RunAnswer, started),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "slowdown_milli",
-    11,
+    "reason",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Rp__TaskStart, slowdown_milli),
-    NULL,
+    offsetof(Rp__RunAnswer, reason),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned rp__task_start__field_indices_by_name[] = {
-  1,   /* field[1] = attempt */
-  9,   /* field[9] = checkpoint */
-  0,   /* field[0] = job_id */
-  6,   /* field[6] = kind */
-  8,   /* field[8] = payload */
-  5,   /* field[5] = pool */
-  7,   /* field[7] = resources */
-  4,   /* field[4] = session */
-  2,   /* field[2] = shard */
-  10,   /* field[10] = slowdown_milli */
-  3,   /* field[3] = term */
+static const unsigned rp__run_answer__field_indices_by_name[] = {
+  2,   /* field[2] = reason */
+  0,   /* field[0] = run */
+  1,   /* field[1] = started */
 };
-static const ProtobufCIntRange rp__task_start__number_ranges[1 + 1] =
+static const ProtobufCIntRange rp__run_answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 3 }
 };
-const ProtobufCMessageDescriptor rp__task_start__descriptor =
+const ProtobufCMessageDescriptor rp__run_answer__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "rp.TaskStart",
-  "TaskStart",
-  "Rp__TaskStart",
+  "rp.RunAnswer",
+  "RunAnswer",
+  "Rp__RunAnswer",
   "rp",
-  sizeof(Rp__TaskStart),
-  11,
-  rp__task_start__field_descriptors,
-  rp__task_start__field_indices_by_name,
-  1,  rp__task_start__number_ranges,
-  (ProtobufCMessageInit) rp__task_start__init,
+  sizeof(Rp__RunAnswer),
+  3,
+  rp__run_answer__field_descriptors,
+  rp__run_answer__field_indices_by_name,
+  1,  rp__run_answer__number_ranges,
+  (ProtobufCMessageInit) rp__run_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp__task_control__field_descriptors[6] =
+static const ProtobufCFieldDescriptor rp__vm_report__field_descriptors[8] =
 {
   {
-    "job_id",
+    "fence",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Rp__TaskControl, job_id),
+    offsetof(Rp__VmReport, fence),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "attempt",
+    "worker",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Rp__TaskControl, attempt),
-    NULL,
+    offsetof(Rp__VmReport, worker),
+    &rp__worker_info__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "shard",
+    "clock_ms",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Rp__TaskControl, shard),
+    offsetof(Rp__VmReport, clock_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "term",
+    "listed",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Rp__TaskControl, term),
+    offsetof(Rp__VmReport, listed),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "action",
+    "running",
     5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
-    0,   /* quantifier_offset */
-    offsetof(Rp__TaskControl, action),
-    &rp__task_action__descriptor,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rp__VmReport, n_running),
+    offsetof(Rp__VmReport, running),
+    &rp__run_row__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "share_milli",
+    "ended",
     6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Rp__TaskControl, share_milli),
-    NULL,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rp__VmReport, n_ended),
+    offsetof(Rp__VmReport, ended),
+    &rp__run_end__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned rp__task_control__field_indices_by_name[] = {
-  4,   /* field[4] = action */
-  1,   /* field[1] = attempt */
-  0,   /* field[0] = job_id */
-  2,   /* field[2] = shard */
-  5,   /* field[5] = share_milli */
-  3,   /* field[3] = term */
-};
-static const ProtobufCIntRange rp__task_control__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 6 }
-};
-const ProtobufCMessageDescriptor rp__task_control__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "rp.TaskControl",
-  "TaskControl",
-  "Rp__TaskControl",
-  "rp",
-  sizeof(Rp__TaskControl),
-  6,
-  rp__task_control__field_descriptors,
-  rp__task_control__field_indices_by_name,
-  1,  rp__task_control__number_ranges,
-  (ProtobufCMessageInit) rp__task_control__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor rp__task_event__field_descriptors[2] =
-{
   {
-    "task",
-    1,
-    PROTOBUF_C_LABEL_NONE,
+    "answers",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Rp__TaskEvent, task),
-    &rp__task__descriptor,
+    offsetof(Rp__VmReport, n_answers),
+    offsetof(Rp__VmReport, answers),
+    &rp__run_answer__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "term",
-    2,
+    "silent_ms",
+    8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Rp__TaskEvent, term),
+    offsetof(Rp__VmReport, silent_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned rp__task_event__field_indices_by_name[] = {
-  0,   /* field[0] = task */
-  1,   /* field[1] = term */
+static const unsigned rp__vm_report__field_indices_by_name[] = {
+  6,   /* field[6] = answers */
+  2,   /* field[2] = clock_ms */
+  5,   /* field[5] = ended */
+  0,   /* field[0] = fence */
+  3,   /* field[3] = listed */
+  4,   /* field[4] = running */
+  7,   /* field[7] = silent_ms */
+  1,   /* field[1] = worker */
 };
-static const ProtobufCIntRange rp__task_event__number_ranges[1 + 1] =
+static const ProtobufCIntRange rp__vm_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 8 }
 };
-const ProtobufCMessageDescriptor rp__task_event__descriptor =
+const ProtobufCMessageDescriptor rp__vm_report__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "rp.TaskEvent",
-  "TaskEvent",
-  "Rp__TaskEvent",
+  "rp.VmReport",
+  "VmReport",
+  "Rp__VmReport",
   "rp",
-  sizeof(Rp__TaskEvent),
-  2,
-  rp__task_event__field_descriptors,
-  rp__task_event__field_indices_by_name,
-  1,  rp__task_event__number_ranges,
-  (ProtobufCMessageInit) rp__task_event__init,
+  sizeof(Rp__VmReport),
+  8,
+  rp__vm_report__field_descriptors,
+  rp__vm_report__field_indices_by_name,
+  1,  rp__vm_report__number_ranges,
+  (ProtobufCMessageInit) rp__vm_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp__task_ack__field_descriptors[4] =
+static const ProtobufCFieldDescriptor rp__step_spec__field_descriptors[16] =
 {
   {
-    "job_id",
+    "replicas",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Rp__TaskAck, job_id),
+    offsetof(Rp__StepSpec, replicas),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "attempt",
+    "need",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Rp__TaskAck, attempt),
-    NULL,
+    offsetof(Rp__StepSpec, need),
+    &rp__resources__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "shard",
+    "estimate_ms",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Rp__TaskAck, shard),
+    offsetof(Rp__StepSpec, estimate_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "term",
+    "after",
     4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Rp__StepSpec, n_after),
+    offsetof(Rp__StepSpec, after),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoints",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Rp__TaskAck, term),
+    offsetof(Rp__StepSpec, checkpoints),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned rp__task_ack__field_indices_by_name[] = {
-  1,   /* field[1] = attempt */
-  0,   /* field[0] = job_id */
-  2,   /* field[2] = shard */
-  3,   /* field[3] = term */
-};
-static const ProtobufCIntRange rp__task_ack__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 4 }
-};
-const ProtobufCMessageDescriptor rp__task_ack__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "rp.TaskAck",
-  "TaskAck",
-  "Rp__TaskAck",
-  "rp",
-  sizeof(Rp__TaskAck),
-  4,
-  rp__task_ack__field_descriptors,
-  rp__task_ack__field_indices_by_name,
-  1,  rp__task_ack__number_ranges,
-  (ProtobufCMessageInit) rp__task_ack__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor rp__grant_request__field_descriptors[2] =
-{
   {
-    "sequence",
-    1,
+    "gang",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Rp__GrantRequest, sequence),
+    offsetof(Rp__StepSpec, gang),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "session",
-    2,
+    "same_rack",
+    7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Rp__GrantRequest, session),
+    offsetof(Rp__StepSpec, same_rack),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned rp__grant_request__field_indices_by_name[] = {
-  0,   /* field[0] = sequence */
-  1,   /* field[1] = session */
-};
-static const ProtobufCIntRange rp__grant_request__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor rp__grant_request__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "rp.GrantRequest",
-  "GrantRequest",
-  "Rp__GrantRequest",
-  "rp",
-  sizeof(Rp__GrantRequest),
-  2,
-  rp__grant_request__field_descriptors,
-  rp__grant_request__field_indices_by_name,
-  1,  rp__grant_request__number_ranges,
-  (ProtobufCMessageInit) rp__grant_request__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor rp__grant__field_descriptors[2] =
-{
   {
-    "sequence",
-    1,
+    "speculative",
+    8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Rp__Grant, sequence),
+    offsetof(Rp__StepSpec, speculative),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "fenced_session",
-    2,
+    "lasts",
+    9,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Rp__Grant, fenced_session),
+    offsetof(Rp__StepSpec, lasts),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned rp__grant__field_indices_by_name[] = {
-  1,   /* field[1] = fenced_session */
-  0,   /* field[0] = sequence */
-};
-static const ProtobufCIntRange rp__grant__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor rp__grant__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "rp.Grant",
-  "Grant",
-  "Rp__Grant",
-  "rp",
-  sizeof(Rp__Grant),
-  2,
-  rp__grant__field_descriptors,
-  rp__grant__field_indices_by_name,
-  1,  rp__grant__number_ranges,
-  (ProtobufCMessageInit) rp__grant__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor rp__peer_hello__field_descriptors[5] =
-{
   {
-    "entry_id",
-    1,
+    "fills",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rp__StepSpec, fills),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "label",
+    11,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Rp__PeerHello, entry_id),
+    offsetof(Rp__StepSpec, label),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "tables_generation",
-    2,
+    "data_rack",
+    12,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Rp__PeerHello, tables_generation),
+    offsetof(Rp__StepSpec, data_rack),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "max_per_vm",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rp__StepSpec, max_per_vm),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "zone",
-    3,
+    "image",
+    14,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Rp__PeerHello, zone),
+    offsetof(Rp__StepSpec, image),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "accepts_deltas",
-    4,
+    "target_ms",
+    15,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Rp__PeerHello, accepts_deltas),
+    offsetof(Rp__StepSpec, target_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "knows_members",
-    5,
+    "may_miss",
+    16,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Rp__PeerHello, knows_members),
+    offsetof(Rp__StepSpec, may_miss),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned rp__peer_hello__field_indices_by_name[] = {
-  3,   /* field[3] = accepts_deltas */
-  0,   /* field[0] = entry_id */
-  4,   /* field[4] = knows_members */
-  1,   /* field[1] = tables_generation */
-  2,   /* field[2] = zone */
+static const unsigned rp__step_spec__field_indices_by_name[] = {
+  3,   /* field[3] = after */
+  4,   /* field[4] = checkpoints */
+  11,   /* field[11] = data_rack */
+  2,   /* field[2] = estimate_ms */
+  9,   /* field[9] = fills */
+  5,   /* field[5] = gang */
+  13,   /* field[13] = image */
+  10,   /* field[10] = label */
+  8,   /* field[8] = lasts */
+  12,   /* field[12] = max_per_vm */
+  15,   /* field[15] = may_miss */
+  1,   /* field[1] = need */
+  0,   /* field[0] = replicas */
+  6,   /* field[6] = same_rack */
+  7,   /* field[7] = speculative */
+  14,   /* field[14] = target_ms */
 };
-static const ProtobufCIntRange rp__peer_hello__number_ranges[1 + 1] =
+static const ProtobufCIntRange rp__step_spec__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 16 }
 };
-const ProtobufCMessageDescriptor rp__peer_hello__descriptor =
+const ProtobufCMessageDescriptor rp__step_spec__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "rp.PeerHello",
-  "PeerHello",
-  "Rp__PeerHello",
+  "rp.StepSpec",
+  "StepSpec",
+  "Rp__StepSpec",
   "rp",
-  sizeof(Rp__PeerHello),
-  5,
-  rp__peer_hello__field_descriptors,
-  rp__peer_hello__field_indices_by_name,
-  1,  rp__peer_hello__number_ranges,
-  (ProtobufCMessageInit) rp__peer_hello__init,
+  sizeof(Rp__StepSpec),
+  16,
+  rp__step_spec__field_descriptors,
+  rp__step_spec__field_indices_by_name,
+  1,  rp__step_spec__number_ranges,
+  (ProtobufCMessageInit) rp__step_spec__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp__member__field_descriptors[2] =
+static const ProtobufCFieldDescriptor rp__step_job__field_descriptors[8] =
 {
   {
-    "entry_id",
-    1,
+    "job_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rp__StepJob, job_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "queue",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rp__StepJob, queue),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "payload",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Rp__StepJob, payload),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "steps",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rp__StepJob, n_steps),
+    offsetof(Rp__StepJob, steps),
+    &rp__step_spec__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "occurrences",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Rp__Member, entry_id),
+    offsetof(Rp__StepJob, occurrences),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "create_revision",
-    2,
+    "first_unix_ms",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Rp__Member, create_revision),
+    offsetof(Rp__StepJob, first_unix_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned rp__member__field_indices_by_name[] = {
-  1,   /* field[1] = create_revision */
-  0,   /* field[0] = entry_id */
-};
-static const ProtobufCIntRange rp__member__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor rp__member__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "rp.Member",
-  "Member",
-  "Rp__Member",
-  "rp",
-  sizeof(Rp__Member),
-  2,
-  rp__member__field_descriptors,
-  rp__member__field_indices_by_name,
-  1,  rp__member__number_ranges,
-  (ProtobufCMessageInit) rp__member__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor rp__members__field_descriptors[2] =
-{
   {
-    "instance",
-    1,
+    "interval_ms",
+    7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Rp__Members, instance),
+    offsetof(Rp__StepJob, interval_ms),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "members",
-    2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Rp__Members, n_members),
-    offsetof(Rp__Members, members),
-    &rp__member__descriptor,
+    "submitted_unix_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Rp__StepJob, submitted_unix_ms),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned rp__members__field_indices_by_name[] = {
-  0,   /* field[0] = instance */
-  1,   /* field[1] = members */
+static const unsigned rp__step_job__field_indices_by_name[] = {
+  5,   /* field[5] = first_unix_ms */
+  6,   /* field[6] = interval_ms */
+  0,   /* field[0] = job_id */
+  4,   /* field[4] = occurrences */
+  2,   /* field[2] = payload */
+  1,   /* field[1] = queue */
+  3,   /* field[3] = steps */
+  7,   /* field[7] = submitted_unix_ms */
 };
-static const ProtobufCIntRange rp__members__number_ranges[1 + 1] =
+static const ProtobufCIntRange rp__step_job__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 8 }
 };
-const ProtobufCMessageDescriptor rp__members__descriptor =
+const ProtobufCMessageDescriptor rp__step_job__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "rp.Members",
-  "Members",
-  "Rp__Members",
+  "rp.StepJob",
+  "StepJob",
+  "Rp__StepJob",
   "rp",
-  sizeof(Rp__Members),
-  2,
-  rp__members__field_descriptors,
-  rp__members__field_indices_by_name,
-  1,  rp__members__number_ranges,
-  (ProtobufCMessageInit) rp__members__init,
+  sizeof(Rp__StepJob),
+  8,
+  rp__step_job__field_descriptors,
+  rp__step_job__field_indices_by_name,
+  1,  rp__step_job__number_ranges,
+  (ProtobufCMessageInit) rp__step_job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp__promise_request__field_descriptors[3] =
+static const ProtobufCFieldDescriptor rp__step_call__field_descriptors[6] =
 {
   {
-    "id",
+    "call_id",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Rp__PromiseRequest, id),
+    offsetof(Rp__StepCall, call_id),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "members",
+    "verb",
     2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Rp__PromiseRequest, n_members),
-    offsetof(Rp__PromiseRequest, members),
-    &rp__member__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Rp__StepCall, verb),
+    &rp__step_verb__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "fences_revision",
+    "host",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Rp__PromiseRequest, fences_revision),
-    NULL,
+    offsetof(Rp__StepCall, host),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned rp__promise_request__field_indices_by_name[] = {
-  2,   /* field[2] = fences_revision */
-  0,   /* field[0] = id */
-  1,   /* field[1] = members */
-};
-static const ProtobufCIntRange rp__promise_request__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor rp__promise_request__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "rp.PromiseRequest",
-  "PromiseRequest",
-  "Rp__PromiseRequest",
-  "rp",
-  sizeof(Rp__PromiseRequest),
-  3,
-  rp__promise_request__field_descriptors,
-  rp__promise_request__field_indices_by_name,
-  1,  rp__promise_request__number_ranges,
-  (ProtobufCMessageInit) rp__promise_request__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor rp__fence__field_descriptors[3] =
-{
   {
-    "vm",
-    1,
+    "path",
+    4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Rp__Fence, vm),
+    offsetof(Rp__StepCall, path),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "session",
-    2,
+    "job",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Rp__Fence, session),
-    NULL,
+    offsetof(Rp__StepCall, job),
+    &rp__step_job__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "revision",
-    3,
+    "timeout_ms",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Rp__Fence, revision),
+    offsetof(Rp__StepCall, timeout_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned rp__fence__field_indices_by_name[] = {
-  2,   /* field[2] = revision */
-  1,   /* field[1] = session */
-  0,   /* field[0] = vm */
+static const unsigned rp__step_call__field_indices_by_name[] = {
+  0,   /* field[0] = call_id */
+  2,   /* field[2] = host */
+  4,   /* field[4] = job */
+  3,   /* field[3] = path */
+  5,   /* field[5] = timeout_ms */
+  1,   /* field[1] = verb */
 };
-static const ProtobufCIntRange rp__fence__number_ranges[1 + 1] =
+static const ProtobufCIntRange rp__step_call__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 6 }
 };
-const ProtobufCMessageDescriptor rp__fence__descriptor =
+const ProtobufCMessageDescriptor rp__step_call__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "rp.Fence",
-  "Fence",
-  "Rp__Fence",
+  "rp.StepCall",
+  "StepCall",
+  "Rp__StepCall",
   "rp",
-  sizeof(Rp__Fence),
-  3,
-  rp__fence__field_descriptors,
-  rp__fence__field_indices_by_name,
-  1,  rp__fence__number_ranges,
-  (ProtobufCMessageInit) rp__fence__init,
+  sizeof(Rp__StepCall),
+  6,
+  rp__step_call__field_descriptors,
+  rp__step_call__field_indices_by_name,
+  1,  rp__step_call__number_ranges,
+  (ProtobufCMessageInit) rp__step_call__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp__promise_reply__field_descriptors[3] =
+static const ProtobufCFieldDescriptor rp__step_reply__field_descriptors[5] =
 {
   {
-    "id",
+    "call_id",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Rp__PromiseReply, id),
+    offsetof(Rp__StepReply, call_id),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "refusal",
+    "status",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Rp__PromiseReply, refusal),
-    &rp__promise_refusal__descriptor,
+    offsetof(Rp__StepReply, status),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "fences",
+    "state",
     3,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Rp__PromiseReply, n_fences),
-    offsetof(Rp__PromiseReply, fences),
-    &rp__fence__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Rp__StepReply, state),
+    &rp__job_state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waiting",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rp__StepReply, waiting),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_s",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rp__StepReply, retry_after_s),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned rp__promise_reply__field_indices_by_name[] = {
-  2,   /* field[2] = fences */
-  0,   /* field[0] = id */
-  1,   /* field[1] = refusal */
+static const unsigned rp__step_reply__field_indices_by_name[] = {
+  0,   /* field[0] = call_id */
+  4,   /* field[4] = retry_after_s */
+  2,   /* field[2] = state */
+  1,   /* field[1] = status */
+  3,   /* field[3] = waiting */
 };
-static const ProtobufCIntRange rp__promise_reply__number_ranges[1 + 1] =
+static const ProtobufCIntRange rp__step_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
-const ProtobufCMessageDescriptor rp__promise_reply__descriptor =
+const ProtobufCMessageDescriptor rp__step_reply__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "rp.PromiseReply",
-  "PromiseReply",
-  "Rp__PromiseReply",
+  "rp.StepReply",
+  "StepReply",
+  "Rp__StepReply",
   "rp",
-  sizeof(Rp__PromiseReply),
-  3,
-  rp__promise_reply__field_descriptors,
-  rp__promise_reply__field_indices_by_name,
-  1,  rp__promise_reply__number_ranges,
-  (ProtobufCMessageInit) rp__promise_reply__init,
+  sizeof(Rp__StepReply),
+  5,
+  rp__step_reply__field_descriptors,
+  rp__step_reply__field_indices_by_name,
+  1,  rp__step_reply__number_ranges,
+  (ProtobufCMessageInit) rp__step_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp__shard_claim__field_descriptors[2] =
+static const ProtobufCFieldDescriptor rp__run_place__field_descriptors[4] =
 {
   {
-    "shard",
+    "attempt",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Rp__ShardClaim, shard),
+    offsetof(Rp__RunPlace, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "vm",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rp__RunPlace, vm),
     NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "worker_id",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rp__RunPlace, worker_id),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "term",
-    2,
+    "worker_born_ms",
+    4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Rp__ShardClaim, term),
+    offsetof(Rp__RunPlace, worker_born_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned rp__shard_claim__field_indices_by_name[] = {
-  0,   /* field[0] = shard */
-  1,   /* field[1] = term */
+static const unsigned rp__run_place__field_indices_by_name[] = {
+  0,   /* field[0] = attempt */
+  1,   /* field[1] = vm */
+  3,   /* field[3] = worker_born_ms */
+  2,   /* field[2] = worker_id */
 };
-static const ProtobufCIntRange rp__shard_claim__number_ranges[1 + 1] =
+static const ProtobufCIntRange rp__run_place__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor rp__shard_claim__descriptor =
+const ProtobufCMessageDescriptor rp__run_place__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "rp.ShardClaim",
-  "ShardClaim",
-  "Rp__ShardClaim",
+  "rp.RunPlace",
+  "RunPlace",
+  "Rp__RunPlace",
   "rp",
-  sizeof(Rp__ShardClaim),
-  2,
-  rp__shard_claim__field_descriptors,
-  rp__shard_claim__field_indices_by_name,
-  1,  rp__shard_claim__number_ranges,
-  (ProtobufCMessageInit) rp__shard_claim__init,
+  sizeof(Rp__RunPlace),
+  4,
+  rp__run_place__field_descriptors,
+  rp__run_place__field_indices_by_name,
+  1,  rp__run_place__number_ranges,
+  (ProtobufCMessageInit) rp__run_place__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp__peer_state__field_descriptors[3] =
+static const ProtobufCFieldDescriptor rp__task_progress__field_descriptors[8] =
 {
   {
-    "pools",
+    "occurrence",
     1,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Rp__PeerState, n_pools),
-    offsetof(Rp__PeerState, pools),
-    &rp__pool_load__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rp__TaskProgress, occurrence),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "claims",
+    "step",
     2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Rp__PeerState, n_claims),
-    offsetof(Rp__PeerState, claims),
-    &rp__shard_claim__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rp__TaskProgress, step),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "tables_generation",
+    "index",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Rp__PeerState, tables_generation),
+    offsetof(Rp__TaskProgress, index),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned rp__peer_state__field_indices_by_name[] = {
-  1,   /* field[1] = claims */
-  0,   /* field[0] = pools */
-  2,   /* field[2] = tables_generation */
-};
-static const ProtobufCIntRange rp__peer_state__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor rp__peer_state__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "rp.PeerState",
-  "PeerState",
-  "Rp__PeerState",
-  "rp",
-  sizeof(Rp__PeerState),
-  3,
-  rp__peer_state__field_descriptors,
-  rp__peer_state__field_indices_by_name,
-  1,  rp__peer_state__number_ranges,
-  (ProtobufCMessageInit) rp__peer_state__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor rp__peer_call__field_descriptors[4] =
-{
   {
-    "id",
-    1,
+    "done",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Rp__PeerCall, id),
+    offsetof(Rp__TaskProgress, done),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "op",
-    2,
+    "attempts",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Rp__PeerCall, op),
-    &rp__peer_op__descriptor,
+    offsetof(Rp__TaskProgress, attempts),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "job_id",
-    3,
+    "failures",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Rp__PeerCall, job_id),
+    offsetof(Rp__TaskProgress, failures),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "spec",
-    4,
+    "checkpoint",
+    7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Rp__PeerCall, spec),
+    offsetof(Rp__TaskProgress, checkpoint),
     NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "runs",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rp__TaskProgress, n_runs),
+    offsetof(Rp__TaskProgress, runs),
+    &rp__run_place__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned rp__peer_call__field_indices_by_name[] = {
-  0,   /* field[0] = id */
-  2,   /* field[2] = job_id */
-  1,   /* field[1] = op */
-  3,   /* field[3] = spec */
+static const unsigned rp__task_progress__field_indices_by_name[] = {
+  4,   /* field[4] = attempts */
+  6,   /* field[6] = checkpoint */
+  3,   /* field[3] = done */
+  5,   /* field[5] = failures */
+  2,   /* field[2] = index */
+  0,   /* field[0] = occurrence */
+  7,   /* field[7] = runs */
+  1,   /* field[1] = step */
 };
-static const ProtobufCIntRange rp__peer_call__number_ranges[1 + 1] =
+static const ProtobufCIntRange rp__task_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 8 }
 };
-const ProtobufCMessageDescriptor rp__peer_call__descriptor =
+const ProtobufCMessageDescriptor rp__task_progress__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "rp.PeerCall",
-  "PeerCall",
-  "Rp__PeerCall",
+  "rp.TaskProgress",
+  "TaskProgress",
+  "Rp__TaskProgress",
   "rp",
-  sizeof(Rp__PeerCall),
-  4,
-  rp__peer_call__field_descriptors,
-  rp__peer_call__field_indices_by_name,
-  1,  rp__peer_call__number_ranges,
-  (ProtobufCMessageInit) rp__peer_call__init,
+  sizeof(Rp__TaskProgress),
+  8,
+  rp__task_progress__field_descriptors,
+  rp__task_progress__field_indices_by_name,
+  1,  rp__task_progress__number_ranges,
+  (ProtobufCMessageInit) rp__task_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp__peer_reply__field_descriptors[3] =
+static const ProtobufCFieldDescriptor rp__step_progress__field_descriptors[4] =
 {
   {
-    "id",
+    "state",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_ENUM,
     0,   /* quantifier_offset */
-    offsetof(Rp__PeerReply, id),
-    NULL,
+    offsetof(Rp__StepProgress, state),
+    &rp__job_state__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "status",
+    "ended_unix_ms",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Rp__PeerReply, status),
+    offsetof(Rp__StepProgress, ended_unix_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "body",
+    "tasks",
     3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rp__StepProgress, n_tasks),
+    offsetof(Rp__StepProgress, tasks),
+    &rp__task_progress__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "queue",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Rp__PeerReply, body),
-    NULL,
+    offsetof(Rp__StepProgress, queue),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned rp__peer_reply__field_indices_by_name[] = {
-  2,   /* field[2] = body */
-  0,   /* field[0] = id */
-  1,   /* field[1] = status */
+static const unsigned rp__step_progress__field_indices_by_name[] = {
+  1,   /* field[1] = ended_unix_ms */
+  3,   /* field[3] = queue */
+  0,   /* field[0] = state */
+  2,   /* field[2] = tasks */
 };
-static const ProtobufCIntRange rp__peer_reply__number_ranges[1 + 1] =
+static const ProtobufCIntRange rp__step_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor rp__peer_reply__descriptor =
+const ProtobufCMessageDescriptor rp__step_progress__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "rp.PeerReply",
-  "PeerReply",
-  "Rp__PeerReply",
+  "rp.StepProgress",
+  "StepProgress",
+  "Rp__StepProgress",
   "rp",
-  sizeof(Rp__PeerReply),
-  3,
-  rp__peer_reply__field_descriptors,
-  rp__peer_reply__field_indices_by_name,
-  1,  rp__peer_reply__number_ranges,
-  (ProtobufCMessageInit) rp__peer_reply__init,
+  sizeof(Rp__StepProgress),
+  4,
+  rp__step_progress__field_descriptors,
+  rp__step_progress__field_indices_by_name,
+  1,  rp__step_progress__number_ranges,
+  (ProtobufCMessageInit) rp__step_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp__frame__field_descriptors[25] =
+static const ProtobufCFieldDescriptor rp__frame__field_descriptors[31] =
 {
   {
     "hello",
@@ -4800,6 +7277,78 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leader_hello",
+    26,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rp__Frame, body_case),
+    offsetof(Rp__Frame, leader_hello),
+    &rp__leader_hello__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "node_beat",
+    27,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rp__Frame, body_case),
+    offsetof(Rp__Frame, node_beat),
+    &rp__node_beat__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "vm_orders",
+    28,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rp__Frame, body_case),
+    offsetof(Rp__Frame, vm_orders),
+    &rp__vm_orders__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "vm_report",
+    29,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rp__Frame, body_case),
+    offsetof(Rp__Frame, vm_report),
+    &rp__vm_report__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step_call",
+    30,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rp__Frame, body_case),
+    offsetof(Rp__Frame, step_call),
+    &rp__step_call__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step_reply",
+    31,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rp__Frame, body_case),
+    offsetof(Rp__Frame, step_reply),
+    &rp__step_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rp__frame__field_indices_by_name[] = {
   5,   /* field[5] = cancel */
@@ -4807,7 +7356,9 @@
   15,   /* field[15] = grant */
   14,   /* field[14] = grant_request */
   0,   /* field[0] = hello */
+  25,   /* field[25] = leader_hello */
   22,   /* field[22] = members */
+  26,   /* field[26] = node_beat */
   18,   /* field[18] = peer_call */
   16,   /* field[16] = peer_hello */
   19,   /* field[19] = peer_reply */
@@ -4818,6 +7369,8 @@
   2,   /* field[2] = report */
   4,   /* field[4] = request */
   8,   /* field[8] = shard_term */
+  29,   /* field[29] = step_call */
+  30,   /* field[30] = step_reply */
   20,   /* field[20] = tables_delta */
   7,   /* field[7] = tables_update */
   21,   /* field[21] = tables_wanted */
@@ -4826,12 +7379,14 @@
   12,   /* field[12] = task_event */
   9,   /* field[9] = task_list */
   10,   /* field[10] = task_start */
+  27,   /* field[27] = vm_orders */
+  28,   /* field[28] = vm_report */
   1,   /* field[1] = welcome */
 };
 static const ProtobufCIntRange rp__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 25 }
+  { 0, 31 }
 };
 const ProtobufCMessageDescriptor rp__frame__descriptor =
 {
@@ -4841,7 +7396,7 @@
   "Rp__Frame",
   "rp",
   sizeof(Rp__Frame),
-  25,
+  31,
   rp__frame__field_descriptors,
   rp__frame__field_indices_by_name,
   1,  rp__frame__number_ranges,
@@ -5352,6 +7907,78 @@
   rp__peer_op__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
+static const ProtobufCEnumValue rp__run_end_kind__enum_values_by_number[7] =
+{
+  { "RUN_END_NONE", "RP__RUN_END_KIND__RUN_END_NONE", 0 },
+  { "RUN_END_DONE", "RP__RUN_END_KIND__RUN_END_DONE", 1 },
+  { "RUN_END_FAILED", "RP__RUN_END_KIND__RUN_END_FAILED", 2 },
+  { "RUN_END_STOPPED", "RP__RUN_END_KIND__RUN_END_STOPPED", 3 },
+  { "RUN_END_LAPSED", "RP__RUN_END_KIND__RUN_END_LAPSED", 4 },
+  { "RUN_END_BROKEN", "RP__RUN_END_KIND__RUN_END_BROKEN", 5 },
+  { "RUN_END_ALONE", "RP__RUN_END_KIND__RUN_END_ALONE", 6 },
+};
+static const ProtobufCIntRange rp__run_end_kind__value_ranges[] = {
+{0, 0},{0, 7}
+};
+static const ProtobufCEnumValueIndex rp__run_end_kind__enum_values_by_name[7] =
+{
+  { "RUN_END_ALONE", 6 },
+  { "RUN_END_BROKEN", 5 },
+  { "RUN_END_DONE", 1 },
+  { "RUN_END_FAILED", 2 },
+  { "RUN_END_LAPSED", 4 },
+  { "RUN_END_NONE", 0 },
+  { "RUN_END_STOPPED", 3 },
+};
+const ProtobufCEnumDescriptor rp__run_end_kind__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "rp.RunEndKind",
+  "RunEndKind",
+  "Rp__RunEndKind",
+  "rp",
+  7,
+  rp__run_end_kind__enum_values_by_number,
+  7,
+  rp__run_end_kind__enum_values_by_name,
+  1,
+  rp__run_end_kind__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
+static const ProtobufCEnumValue rp__step_verb__enum_values_by_number[5] =
+{
+  { "STEP_VERB_NONE", "RP__STEP_VERB__STEP_VERB_NONE", 0 },
+  { "STEP_VERB_SUBMIT", "RP__STEP_VERB__STEP_VERB_SUBMIT", 1 },
+  { "STEP_VERB_STATE", "RP__STEP_VERB__STEP_VERB_STATE", 2 },
+  { "STEP_VERB_CANCEL", "RP__STEP_VERB__STEP_VERB_CANCEL", 3 },
+  { "STEP_VERB_COUNT", "RP__STEP_VERB__STEP_VERB_COUNT", 4 },
+};
+static const ProtobufCIntRange rp__step_verb__value_ranges[] = {
+{0, 0},{0, 5}
+};
+static const ProtobufCEnumValueIndex rp__step_verb__enum_values_by_name[5] =
+{
+  { "STEP_VERB_CANCEL", 3 },
+  { "STEP_VERB_COUNT", 4 },
+  { "STEP_VERB_NONE", 0 },
+  { "STEP_VERB_STATE", 2 },
+  { "STEP_VERB_SUBMIT", 1 },
+};
+const ProtobufCEnumDescriptor rp__step_verb__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "rp.StepVerb",
+  "StepVerb",
+  "Rp__StepVerb",
+  "rp",
+  5,
+  rp__step_verb__enum_values_by_number,
+  5,
+  rp__step_verb__enum_values_by_name,
+  1,
+  rp__step_verb__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
 static const ProtobufCEnumValue rp__job_state__enum_values_by_number[7] =
 {
   { "JOB_STATE_NONE", "RP__JOB_STATE__JOB_STATE_NONE", 0 },
--- a/wire/rp.pb-c.h
+++ b/wire/rp.pb-c.h
@@ -50,6 +50,23 @@
 typedef struct Rp__PeerState Rp__PeerState;
 typedef struct Rp__PeerCall Rp__PeerCall;
 typedef struct Rp__PeerReply Rp__PeerReply;
+typedef struct Rp__LeaderHello Rp__LeaderHello;
+typedef struct Rp__NodeBeat Rp__NodeBeat;
+typedef struct Rp__RunName Rp__RunName;
+typedef struct Rp__RunStart Rp__RunStart;
+typedef struct Rp__VmOrders Rp__VmOrders;
+typedef struct Rp__WorkerInfo Rp__WorkerInfo;
+typedef struct Rp__RunRow Rp__RunRow;
+typedef struct Rp__RunEnd Rp__RunEnd;
+typedef struct Rp__RunAnswer Rp__RunAnswer;
+typedef struct Rp__VmReport Rp__VmReport;
+typedef struct Rp__StepSpec Rp__StepSpec;
+typedef struct Rp__StepJob Rp__StepJob;
+typedef struct Rp__StepCall Rp__StepCall;
+typedef struct Rp__StepReply Rp__StepReply;
+typedef struct Rp__RunPlace Rp__RunPlace;
+typedef struct Rp__TaskProgress Rp__TaskProgress;
+typedef struct Rp__StepProgress Rp__StepProgress;
 typedef struct Rp__Frame Rp__Frame;
 typedef struct Rp__JobRecord Rp__JobRecord;
 
@@ -142,6 +159,24 @@
   RP__PEER_OP__PEER_OP_JOB_CANCEL = 4
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(RP__PEER_OP)
 } Rp__PeerOp;
+typedef enum _Rp__RunEndKind {
+  RP__RUN_END_KIND__RUN_END_NONE = 0,
+  RP__RUN_END_KIND__RUN_END_DONE = 1,
+  RP__RUN_END_KIND__RUN_END_FAILED = 2,
+  RP__RUN_END_KIND__RUN_END_STOPPED = 3,
+  RP__RUN_END_KIND__RUN_END_LAPSED = 4,
+  RP__RUN_END_KIND__RUN_END_BROKEN = 5,
+  RP__RUN_END_KIND__RUN_END_ALONE = 6
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(RP__RUN_END_KIND)
+} Rp__RunEndKind;
+typedef enum _Rp__StepVerb {
+  RP__STEP_VERB__STEP_VERB_NONE = 0,
+  RP__STEP_VERB__STEP_VERB_SUBMIT = 1,
+  RP__STEP_VERB__STEP_VERB_STATE = 2,
+  RP__STEP_VERB__STEP_VERB_CANCEL = 3,
+  RP__STEP_VERB__STEP_VERB_COUNT = 4
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(RP__STEP_VERB)
+} Rp__StepVerb;
 typedef enum _Rp__JobState {
   RP__JOB_STATE__JOB_STATE_NONE = 0,
   RP__JOB_STATE__JOB_STATE_QUEUED = 1,
@@ -775,6 +810,334 @@
     , 0, 0, {0,NULL} }
 
 
+/*
+ * Leader to a node, first frame of a connection; fence is the leader's term. 
+ */
+struct  Rp__LeaderHello
+{
+  ProtobufCMessage base;
+  uint64_t fence;
+  char *entry;
+};
+#define RP__LEADER_HELLO__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rp__leader_hello__descriptor) \
+    , 0, (char *)protobuf_c_empty_string }
+
+
+/*
+ * Both ways between leader and entries, so that a silent link shows. 
+ */
+struct  Rp__NodeBeat
+{
+  ProtobufCMessage base;
+  uint64_t fence;
+};
+#define RP__NODE_BEAT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rp__node_beat__descriptor) \
+    , 0 }
+
+
+/*
+ * One attempt at a task; task is "job.occurrence.step.index". 
+ */
+struct  Rp__RunName
+{
+  ProtobufCMessage base;
+  char *task;
+  uint32_t attempt;
+};
+#define RP__RUN_NAME__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rp__run_name__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Rp__RunStart
+{
+  ProtobufCMessage base;
+  Rp__RunName *run;
+  ProtobufCBinaryData payload;
+  char *checkpoint;
+  char *ticket;
+  /*
+   * Latency target of a serving task, 0 for none. 
+   */
+  uint32_t target_ms;
+  /*
+   * Uses processors that others leave unused. 
+   */
+  protobuf_c_boolean fills;
+};
+#define RP__RUN_START__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rp__run_start__descriptor) \
+    , NULL, {0,NULL}, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+
+
+/*
+ * Leader to agent. Lease and times are on the worker's clock. 
+ */
+struct  Rp__VmOrders
+{
+  ProtobufCMessage base;
+  uint64_t fence;
+  char *worker_id;
+  uint64_t worker_born_ms;
+  int64_t lease_until_ms;
+  /*
+   * Ends up to this number are durable and may be forgotten. 
+   */
+  uint64_t ended_through;
+  size_t n_starts;
+  Rp__RunStart **starts;
+  size_t n_stops;
+  Rp__RunName **stops;
+};
+#define RP__VM_ORDERS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rp__vm_orders__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL }
+
+
+struct  Rp__WorkerInfo
+{
+  ProtobufCMessage base;
+  char *worker_id;
+  uint64_t born_ms;
+  char *pool;
+  char *zone;
+  Rp__Resources *capacity;
+  size_t n_labels;
+  char **labels;
+  protobuf_c_boolean draining;
+  int64_t remaining_ms;
+  /*
+   * It has left; nothing runs there. 
+   */
+  protobuf_c_boolean gone;
+  char *rack;
+  /*
+   * Rises with each description, so that one that comes late shows. 
+   */
+  uint64_t sequence;
+};
+#define RP__WORKER_INFO__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rp__worker_info__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, 0,NULL, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Rp__RunRow
+{
+  ProtobufCMessage base;
+  Rp__RunName *run;
+  char *checkpoint;
+  uint32_t percent;
+  /*
+   * Tail latency in ms of a serving task, else processors used in milli. 
+   */
+  uint32_t figure;
+};
+#define RP__RUN_ROW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rp__run_row__descriptor) \
+    , NULL, (char *)protobuf_c_empty_string, 0, 0 }
+
+
+struct  Rp__RunEnd
+{
+  ProtobufCMessage base;
+  uint64_t number;
+  Rp__RunName *run;
+  Rp__RunEndKind kind;
+  char *checkpoint;
+};
+#define RP__RUN_END__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rp__run_end__descriptor) \
+    , 0, NULL, RP__RUN_END_KIND__RUN_END_NONE, (char *)protobuf_c_empty_string }
+
+
+/*
+ * How the worker answered a start; a run that is refused never starts. 
+ */
+struct  Rp__RunAnswer
+{
+  ProtobufCMessage base;
+  Rp__RunName *run;
+  protobuf_c_boolean started;
+  char *reason;
+};
+#define RP__RUN_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rp__run_answer__descriptor) \
+    , NULL, 0, (char *)protobuf_c_empty_string }
+
+
+/*
+ * Agent to leader. 
+ */
+struct  Rp__VmReport
+{
+  ProtobufCMessage base;
+  uint64_t fence;
+  /*
+   * The worker that lives on the VM; none if it is gone or not known. 
+   */
+  Rp__WorkerInfo *worker;
+  int64_t clock_ms;
+  /*
+   * running and ended are complete and were read under this fence. 
+   */
+  protobuf_c_boolean listed;
+  size_t n_running;
+  Rp__RunRow **running;
+  size_t n_ended;
+  Rp__RunEnd **ended;
+  size_t n_answers;
+  Rp__RunAnswer **answers;
+  /*
+   * Time since the worker last answered a call. 
+   */
+  uint32_t silent_ms;
+};
+#define RP__VM_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rp__vm_report__descriptor) \
+    , 0, NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0 }
+
+
+struct  Rp__StepSpec
+{
+  ProtobufCMessage base;
+  uint32_t replicas;
+  Rp__Resources *need;
+  uint32_t estimate_ms;
+  /*
+   * Numbers of earlier steps. 
+   */
+  size_t n_after;
+  uint32_t *after;
+  protobuf_c_boolean checkpoints;
+  protobuf_c_boolean gang;
+  protobuf_c_boolean same_rack;
+  protobuf_c_boolean speculative;
+  protobuf_c_boolean lasts;
+  protobuf_c_boolean fills;
+  /*
+   * Label that the worker must have. 
+   */
+  char *label;
+  char *data_rack;
+  uint32_t max_per_vm;
+  char *image;
+  uint32_t target_ms;
+  uint32_t may_miss;
+};
+#define RP__STEP_SPEC__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rp__step_spec__descriptor) \
+    , 0, NULL, 0, 0,NULL, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
+
+
+/*
+ * A job of steps; also the value of radishpier/step-job/<id>. 
+ */
+struct  Rp__StepJob
+{
+  ProtobufCMessage base;
+  char *job_id;
+  char *queue;
+  ProtobufCBinaryData payload;
+  size_t n_steps;
+  Rp__StepSpec **steps;
+  uint32_t occurrences;
+  int64_t first_unix_ms;
+  int64_t interval_ms;
+  int64_t submitted_unix_ms;
+};
+#define RP__STEP_JOB__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rp__step_job__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, 0, 0, 0, 0 }
+
+
+/*
+ * Entry to leader: a call of a caller, job set for a submission. 
+ */
+struct  Rp__StepCall
+{
+  ProtobufCMessage base;
+  uint64_t call_id;
+  Rp__StepVerb verb;
+  char *host;
+  char *path;
+  Rp__StepJob *job;
+  uint32_t timeout_ms;
+};
+#define RP__STEP_CALL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rp__step_call__descriptor) \
+    , 0, RP__STEP_VERB__STEP_VERB_NONE, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, 0 }
+
+
+struct  Rp__StepReply
+{
+  ProtobufCMessage base;
+  uint64_t call_id;
+  uint32_t status;
+  Rp__JobState state;
+  uint32_t waiting;
+  uint32_t retry_after_s;
+};
+#define RP__STEP_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rp__step_reply__descriptor) \
+    , 0, 0, RP__JOB_STATE__JOB_STATE_NONE, 0, 0 }
+
+
+/*
+ * Where an attempt was ordered. 
+ */
+struct  Rp__RunPlace
+{
+  ProtobufCMessage base;
+  uint32_t attempt;
+  char *vm;
+  char *worker_id;
+  uint64_t worker_born_ms;
+};
+#define RP__RUN_PLACE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rp__run_place__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Rp__TaskProgress
+{
+  ProtobufCMessage base;
+  uint32_t occurrence;
+  uint32_t step;
+  uint32_t index;
+  protobuf_c_boolean done;
+  /*
+   * Highest attempt ever ordered. 
+   */
+  uint32_t attempts;
+  uint32_t failures;
+  char *checkpoint;
+  size_t n_runs;
+  Rp__RunPlace **runs;
+};
+#define RP__TASK_PROGRESS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rp__task_progress__descriptor) \
+    , 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0,NULL }
+
+
+/*
+ * Value of radishpier/step-progress/<id>. 
+ */
+struct  Rp__StepProgress
+{
+  ProtobufCMessage base;
+  Rp__JobState state;
+  int64_t ended_unix_ms;
+  size_t n_tasks;
+  Rp__TaskProgress **tasks;
+  char *queue;
+};
+#define RP__STEP_PROGRESS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rp__step_progress__descriptor) \
+    , RP__JOB_STATE__JOB_STATE_NONE, 0, 0,NULL, (char *)protobuf_c_empty_string }
+
+
 typedef enum {
   RP__FRAME__BODY__NOT_SET = 0,
   RP__FRAME__BODY_HELLO = 1,
@@ -801,7 +1164,13 @@
   RP__FRAME__BODY_TABLES_WANTED = 22,
   RP__FRAME__BODY_MEMBERS = 23,
   RP__FRAME__BODY_PROMISE_REQUEST = 24,
-  RP__FRAME__BODY_PROMISE_REPLY = 25
+  RP__FRAME__BODY_PROMISE_REPLY = 25,
+  RP__FRAME__BODY_LEADER_HELLO = 26,
+  RP__FRAME__BODY_NODE_BEAT = 27,
+  RP__FRAME__BODY_VM_ORDERS = 28,
+  RP__FRAME__BODY_VM_REPORT = 29,
+  RP__FRAME__BODY_STEP_CALL = 30,
+  RP__FRAME__BODY_STEP_REPLY = 31
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(RP__FRAME__BODY__CASE)
 } Rp__Frame__BodyCase;
 
@@ -835,6 +1204,12 @@
     Rp__Members *members;
     Rp__PromiseRequest *promise_request;
     Rp__PromiseReply *promise_reply;
+    Rp__LeaderHello *leader_hello;
+    Rp__NodeBeat *node_beat;
+    Rp__VmOrders *vm_orders;
+    Rp__VmReport *vm_report;
+    Rp__StepCall *step_call;
+    Rp__StepReply *step_reply;
   };
 };
 #define RP__FRAME__INIT \
@@ -1548,6 +1923,329 @@
 void   rp__peer_reply__free_unpacked
                      (Rp__PeerReply *message,
                       ProtobufCAllocator *allocator);
+/* Rp__LeaderHello methods */
+void   rp__leader_hello__init
+                     (Rp__LeaderHello         *message);
+size_t rp__leader_hello__get_packed_size
+                     (const Rp__LeaderHello   *message);
+size_t rp__leader_hello__pack
+                     (const Rp__LeaderHello   *message,
+                      uint8_t             *out);
+size_t rp__leader_hello__pack_to_buffer
+                     (const Rp__LeaderHello   *message,
+                      ProtobufCBuffer     *buffer);
+Rp__LeaderHello *
+       rp__leader_hello__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rp__leader_hello__free_unpacked
+                     (Rp__LeaderHello *message,
+                      ProtobufCAllocator *allocator);
+/* Rp__NodeBeat methods */
+void   rp__node_beat__init
+                     (Rp__NodeBeat         *message);
+size_t rp__node_beat__get_packed_size
+                     (const Rp__NodeBeat   *message);
+size_t rp__node_beat__pack
+                     (const Rp__NodeBeat   *message,
+                      uint8_t             *out);
+size_t rp__node_beat__pack_to_buffer
+                     (const Rp__NodeBeat   *message,
+                      ProtobufCBuffer     *buffer);
+Rp__NodeBeat *
+       rp__node_beat__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rp__node_beat__free_unpacked
+                     (Rp__NodeBeat *message,
+                      ProtobufCAllocator *allocator);
+/* Rp__RunName methods */
+void   rp__run_name__init
+                     (Rp__RunName         *message);
+size_t rp__run_name__get_packed_size
+                     (const Rp__RunName   *message);
+size_t rp__run_name__pack
+                     (const Rp__RunName   *message,
+                      uint8_t             *out);
+size_t rp__run_name__pack_to_buffer
+                     (const Rp__RunName   *message,
+                      ProtobufCBuffer     *buffer);
+Rp__RunName *
+       rp__run_name__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rp__run_name__free_unpacked
+                     (Rp__RunName *message,
+                      ProtobufCAllocator *allocator);
+/* Rp__RunStart methods */
+void   rp__run_start__init
+                     (Rp__RunStart         *message);
+size_t rp__run_start__get_packed_size
+                     (const Rp__RunStart   *message);
+size_t rp__run_start__pack
+                     (const Rp__RunStart   *message,
+                      uint8_t             *out);
+size_t rp__run_start__pack_to_buffer
+                     (const Rp__RunStart   *message,
+                      ProtobufCBuffer     *buffer);
+Rp__RunStart *
+       rp__run_start__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rp__run_start__free_unpacked
+                     (Rp__RunStart *message,
+                      ProtobufCAllocator *allocator);
+/* Rp__VmOrders methods */
+void   rp__vm_orders__init
+                     (Rp__VmOrders         *message);
+size_t rp__vm_orders__get_packed_size
+                     (const Rp__VmOrders   *message);
+size_t rp__vm_orders__pack
+                     (const Rp__VmOrders   *message,
+                      uint8_t             *out);
+size_t rp__vm_orders__pack_to_buffer
+                     (const Rp__VmOrders   *message,
+                      ProtobufCBuffer     *buffer);
+Rp__VmOrders *
+       rp__vm_orders__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rp__vm_orders__free_unpacked
+                     (Rp__VmOrders *message,
+                      ProtobufCAllocator *allocator);
+/* Rp__WorkerInfo methods */
+void   rp__worker_info__init
+                     (Rp__WorkerInfo         *message);
+size_t rp__worker_info__get_packed_size
+                     (const Rp__WorkerInfo   *message);
+size_t rp__worker_info__pack
+                     (const Rp__WorkerInfo   *message,
+                      uint8_t             *out);
+size_t rp__worker_info__pack_to_buffer
+                     (const Rp__WorkerInfo   *message,
+                      ProtobufCBuffer     *buffer);
+Rp__WorkerInfo *
+       rp__worker_info__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rp__worker_info__free_unpacked
+                     (Rp__WorkerInfo *message,
+                      ProtobufCAllocator *allocator);
+/* Rp__RunRow methods */
+void   rp__run_row__init
+                     (Rp__RunRow         *message);
+size_t rp__run_row__get_packed_size
+                     (const Rp__RunRow   *message);
+size_t rp__run_row__pack
+                     (const Rp__RunRow   *message,
+                      uint8_t             *out);
+size_t rp__run_row__pack_to_buffer
+                     (const Rp__RunRow   *message,
+                      ProtobufCBuffer     *buffer);
+Rp__RunRow *
+       rp__run_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rp__run_row__free_unpacked
+                     (Rp__RunRow *message,
+                      ProtobufCAllocator *allocator);
+/* Rp__RunEnd methods */
+void   rp__run_end__init
+                     (Rp__RunEnd         *message);
+size_t rp__run_end__get_packed_size
+                     (const Rp__RunEnd   *message);
+size_t rp__run_end__pack
+                     (const Rp__RunEnd   *message,
+                      uint8_t             *out);
+size_t rp__run_end__pack_to_buffer
+                     (const Rp__RunEnd   *message,
+                      ProtobufCBuffer     *buffer);
+Rp__RunEnd *
+       rp__run_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rp__run_end__free_unpacked
+                     (Rp__RunEnd *message,
+                      ProtobufCAllocator *allocator);
+/* Rp__RunAnswer methods */
+void   rp__run_answer__init
+                     (Rp__RunAnswer         *message);
+size_t rp__run_answer__get_packed_size
+                     (const Rp__RunAnswer   *message);
+size_t rp__run_answer__pack
+                     (const Rp__RunAnswer   *message,
+                      uint8_t             *out);
+size_t rp__run_answer__pack_to_buffer
+                     (const Rp__RunAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Rp__RunAnswer *
+       rp__run_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rp__run_answer__free_unpacked
+                     (Rp__RunAnswer *message,
+                      ProtobufCAllocator *allocator);
+/* Rp__VmReport methods */
+void   rp__vm_report__init
+                     (Rp__VmReport         *message);
+size_t rp__vm_report__get_packed_size
+                     (const Rp__VmReport   *message);
+size_t rp__vm_report__pack
+                     (const Rp__VmReport   *message,
+                      uint8_t             *out);
+size_t rp__vm_report__pack_to_buffer
+                     (const Rp__VmReport   *message,
+                      ProtobufCBuffer     *buffer);
+Rp__VmReport *
+       rp__vm_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rp__vm_report__free_unpacked
+                     (Rp__VmReport *message,
+                      ProtobufCAllocator *allocator);
+/* Rp__StepSpec methods */
+void   rp__step_spec__init
+                     (Rp__StepSpec         *message);
+size_t rp__step_spec__get_packed_size
+                     (const Rp__StepSpec   *message);
+size_t rp__step_spec__pack
+                     (const Rp__StepSpec   *message,
+                      uint8_t             *out);
+size_t rp__step_spec__pack_to_buffer
+                     (const Rp__StepSpec   *message,
+                      ProtobufCBuffer     *buffer);
+Rp__StepSpec *
+       rp__step_spec__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rp__step_spec__free_unpacked
+                     (Rp__StepSpec *message,
+                      ProtobufCAllocator *allocator);
+/* Rp__StepJob methods */
+void   rp__step_job__init
+                     (Rp__StepJob         *message);
+size_t rp__step_job__get_packed_size
+                     (const Rp__StepJob   *message);
+size_t rp__step_job__pack
+                     (const Rp__StepJob   *message,
+                      uint8_t             *out);
+size_t rp__step_job__pack_to_buffer
+                     (const Rp__StepJob   *message,
+                      ProtobufCBuffer     *buffer);
+Rp__StepJob *
+       rp__step_job__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rp__step_job__free_unpacked
+                     (Rp__StepJob *message,
+                      ProtobufCAllocator *allocator);
+/* Rp__StepCall methods */
+void   rp__step_call__init
+                     (Rp__StepCall         *message);
+size_t rp__step_call__get_packed_size
+                     (const Rp__StepCall   *message);
+size_t rp__step_call__pack
+                     (const Rp__StepCall   *message,
+                      uint8_t             *out);
+size_t rp__step_call__pack_to_buffer
+                     (const Rp__StepCall   *message,
+                      ProtobufCBuffer     *buffer);
+Rp__StepCall *
+       rp__step_call__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rp__step_call__free_unpacked
+                     (Rp__StepCall *message,
+                      ProtobufCAllocator *allocator);
+/* Rp__StepReply methods */
+void   rp__step_reply__init
+                     (Rp__StepReply         *message);
+size_t rp__step_reply__get_packed_size
+                     (const Rp__StepReply   *message);
+size_t rp__step_reply__pack
+                     (const Rp__StepReply   *message,
+                      uint8_t             *out);
+size_t rp__step_reply__pack_to_buffer
+                     (const Rp__StepReply   *message,
+                      ProtobufCBuffer     *buffer);
+Rp__StepReply *
+       rp__step_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rp__step_reply__free_unpacked
+                     (Rp__StepReply *message,
+                      ProtobufCAllocator *allocator);
+/* Rp__RunPlace methods */
+void   rp__run_place__init
+                     (Rp__RunPlace         *message);
+size_t rp__run_place__get_packed_size
+                     (const Rp__RunPlace   *message);
+size_t rp__run_place__pack
+                     (const Rp__RunPlace   *message,
+                      uint8_t             *out);
+size_t rp__run_place__pack_to_buffer
+                     (const Rp__RunPlace   *message,
+                      ProtobufCBuffer     *buffer);
+Rp__RunPlace *
+       rp__run_place__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rp__run_place__free_unpacked
+                     (Rp__RunPlace *message,
+                      ProtobufCAllocator *allocator);
+/* Rp__TaskProgress methods */
+void   rp__task_progress__init
+                     (Rp__TaskProgress         *message);
+size_t rp__task_progress__get_packed_size
+                     (const Rp__TaskProgress   *message);
+size_t rp__task_progress__pack
+                     (const Rp__TaskProgress   *message,
+                      uint8_t             *out);
+size_t rp__task_progress__pack_to_buffer
+                     (const Rp__TaskProgress   *message,
+                      ProtobufCBuffer     *buffer);
+Rp__TaskProgress *
+       rp__task_progress__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rp__task_progress__free_unpacked
+                     (Rp__TaskProgress *message,
+                      ProtobufCAllocator *allocator);
+/* Rp__StepProgress methods */
+void   rp__step_progress__init
+                     (Rp__StepProgress         *message);
+size_t rp__step_progress__get_packed_size
+                     (const Rp__StepProgress   *message);
+size_t rp__step_progress__pack
+                     (const Rp__StepProgress   *message,
+                      uint8_t             *out);
+size_t rp__step_progress__pack_to_buffer
+                     (const Rp__StepProgress   *message,
+                      ProtobufCBuffer     *buffer);
+Rp__StepProgress *
+       rp__step_progress__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rp__step_progress__free_unpacked
+                     (Rp__StepProgress *message,
+                      ProtobufCAllocator *allocator);
 /* Rp__Frame methods */
 void   rp__frame__init
                      (Rp__Frame         *message);
@@ -1693,6 +2391,57 @@
 typedef void (*Rp__PeerReply_Closure)
                  (const Rp__PeerReply *message,
                   void *closure_data);
+typedef void (*Rp__LeaderHello_Closure)
+                 (const Rp__LeaderHello *message,
+                  void *closure_data);
+typedef void (*Rp__NodeBeat_Closure)
+                 (const Rp__NodeBeat *message,
+                  void *closure_data);
+typedef void (*Rp__RunName_Closure)
+                 (const Rp__RunName *message,
+                  void *closure_data);
+typedef void (*Rp__RunStart_Closure)
+                 (const Rp__RunStart *message,
+                  void *closure_data);
+typedef void (*Rp__VmOrders_Closure)
+                 (const Rp__VmOrders *message,
+                  void *closure_data);
+typedef void (*Rp__WorkerInfo_Closure)
+                 (const Rp__WorkerInfo *message,
+                  void *closure_data);
+typedef void (*Rp__RunRow_Closure)
+                 (const Rp__RunRow *message,
+                  void *closure_data);
+typedef void (*Rp__RunEnd_Closure)
+                 (const Rp__RunEnd *message,
+                  void *closure_data);
+typedef void (*Rp__RunAnswer_Closure)
+                 (const Rp__RunAnswer *message,
+                  void *closure_data);
+typedef void (*Rp__VmReport_Closure)
+                 (const Rp__VmReport *message,
+                  void *closure_data);
+typedef void (*Rp__StepSpec_Closure)
+                 (const Rp__StepSpec *message,
+                  void *closure_data);
+typedef void (*Rp__StepJob_Closure)
+                 (const Rp__StepJob *message,
+                  void *closure_data);
+typedef void (*Rp__StepCall_Closure)
+                 (const Rp__StepCall *message,
+                  void *closure_data);
+typedef void (*Rp__StepReply_Closure)
+                 (const Rp__StepReply *message,
+                  void *closure_data);
+typedef void (*Rp__RunPlace_Closure)
+                 (const Rp__RunPlace *message,
+                  void *closure_data);
+typedef void (*Rp__TaskProgress_Closure)
+                 (const Rp__TaskProgress *message,
+                  void *closure_data);
+typedef void (*Rp__StepProgress_Closure)
+                 (const Rp__StepProgress *message,
+                  void *closure_data);
 typedef void (*Rp__Frame_Closure)
                  (const Rp__Frame *message,
                   void *closure_data);
@@ -1711,6 +2460,8 @@
 extern const ProtobufCEnumDescriptor    rp__task_action__descriptor;
 extern const ProtobufCEnumDescriptor    rp__promise_refusal__descriptor;
 extern const ProtobufCEnumDescriptor    rp__peer_op__descriptor;
+extern const ProtobufCEnumDescriptor    rp__run_end_kind__descriptor;
+extern const ProtobufCEnumDescriptor    rp__step_verb__descriptor;
 extern const ProtobufCEnumDescriptor    rp__job_state__descriptor;
 extern const ProtobufCMessageDescriptor rp__resources__descriptor;
 extern const ProtobufCMessageDescriptor rp__header__descriptor;
@@ -1747,6 +2498,23 @@
 extern const ProtobufCMessageDescriptor rp__peer_state__descriptor;
 extern const ProtobufCMessageDescriptor rp__peer_call__descriptor;
 extern const ProtobufCMessageDescriptor rp__peer_reply__descriptor;
+extern const ProtobufCMessageDescriptor rp__leader_hello__descriptor;
+extern const ProtobufCMessageDescriptor rp__node_beat__descriptor;
+extern const ProtobufCMessageDescriptor rp__run_name__descriptor;
+extern const ProtobufCMessageDescriptor rp__run_start__descriptor;
+extern const ProtobufCMessageDescriptor rp__vm_orders__descriptor;
+extern const ProtobufCMessageDescriptor rp__worker_info__descriptor;
+extern const ProtobufCMessageDescriptor rp__run_row__descriptor;
+extern const ProtobufCMessageDescriptor rp__run_end__descriptor;
+extern const ProtobufCMessageDescriptor rp__run_answer__descriptor;
+extern const ProtobufCMessageDescriptor rp__vm_report__descriptor;
+extern const ProtobufCMessageDescriptor rp__step_spec__descriptor;
+extern const ProtobufCMessageDescriptor rp__step_job__descriptor;
+extern const ProtobufCMessageDescriptor rp__step_call__descriptor;
+extern const ProtobufCMessageDescriptor rp__step_reply__descriptor;
+extern const ProtobufCMessageDescriptor rp__run_place__descriptor;
+extern const ProtobufCMessageDescriptor rp__task_progress__descriptor;
+extern const ProtobufCMessageDescriptor rp__step_progress__descriptor;
 extern const ProtobufCMessageDescriptor rp__frame__descriptor;
 extern const ProtobufCMessageDescriptor rp__job_record__descriptor;
 
