sched, cell: count ends once; let a cut-off leader refuse

Change: only the end of a run in the records counts; without a recent proof of leadership only states of known jobs are told; a leader steps down when a later one is in touch.

--- a/cell/entry.c
+++ b/cell/entry.c
@@ -81,8 +81,7 @@
 
 	/* Another was elected after this process: its own term is over. */
 	if (entry->lead && fence > entry->fence)
-		g_info("a leader with fence %" G_GUINT64_FORMAT " is in touch",
-		       fence);
+		cell_store_step_down(entry->store);
 }
 
 static void on_lost(void *ctx)
--- a/cell/internal.h
+++ b/cell/internal.h
@@ -134,6 +134,8 @@
 /** Writes under the leader's conditions; takes txn. */
 void cell_store_commit(struct cell_store *store, struct kv_txn *txn);
 void cell_store_remove_node(struct cell_store *store, const char *name);
+/** Ends the term at once: a later leader is known. */
+void cell_store_step_down(struct cell_store *store);
 /** Gives up leadership once no transaction is under way. */
 void cell_store_resign(struct cell_store *store);
 
--- a/cell/store.c
+++ b/cell/store.c
@@ -119,11 +119,12 @@
 
 static void depose(struct cell_store *store, const char *why)
 {
-	gboolean led = store->state == STORE_LEADING;
+	gboolean won = store->state == STORE_LOADING ||
+		       store->state == STORE_LEADING;
 
 	if (store->state == STORE_FOLLOWING)
 		return;
-	if (led)
+	if (won)
 		g_message("no longer leader with fence %" G_GINT64_FORMAT
 			  ": %s", store->fence, why);
 	store->term++;
@@ -138,7 +139,7 @@
 	store->txn = NULL;
 	store->txn_sent = FALSE;
 	stop_watches(store);
-	if (led)
+	if (won)
 		store->handler.on_deposed(store->handler.ctx);
 }
 
@@ -572,6 +573,11 @@
 		g_info("lease not revoked, it will expire: %s", error->message);
 }
 
+void cell_store_step_down(struct cell_store *store)
+{
+	depose(store, "a later leader is in touch");
+}
+
 void cell_store_resign(struct cell_store *store)
 {
 	store->resigned = TRUE;
--- a/sched/call.c
+++ b/sched/call.c
@@ -14,6 +14,12 @@
 
 #define MAX_ID_BYTES 64
 
+/**
+ * With an older proof of leadership, another leader may have accepted jobs and
+ * tables that this one does not know. Tables are in force within 2 s.
+ */
+#define PROOF_MAX_AGE_MS 1300
+
 /** An answer has to reach the caller before its timeout. */
 #define ANSWER_MARGIN_MS 150
 
@@ -40,6 +46,28 @@
 	return rp__step_job__unpack(NULL, len, data);
 }
 
+static void log_submission(struct sch *s, const struct sch_job *job)
+{
+	g_autoptr(GString) steps = g_string_new(NULL);
+	size_t i;
+
+	for (i = 0; i < job->spec->n_steps; i++) {
+		const struct Rp__StepSpec *step = job->spec->steps[i];
+
+		g_string_append_printf(
+			steps, " %ux%" G_GINT64_FORMAT "m/%ums%s%s%s%s%s",
+			step->replicas, step->need->cpu_milli,
+			step->estimate_ms, step->n_after ? " after" : "",
+			step->lasts ? " lasts" : "",
+			step->fills ? " fills" : "",
+			step->checkpoints ? " saves" : "",
+			step->speculative ? " copies" : "");
+	}
+	g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "JOB_ID", job->id,
+			 "MESSAGE", "submitted to queue %s, %u jobs active, "
+			 "steps:%s", job->queue, s->active->len, steps->str);
+}
+
 /* Tasks are named by the id and numbers, with dots between. */
 static gboolean is_job_id(const char *id)
 {
@@ -87,6 +115,7 @@
 	wait_commit(s, job, call_ref, call);
 	sch_job_dirty(s, job);
 	sch_job_advance(s, job);
+	log_submission(s, job);
 }
 
 static Rp__JobState visible_state(const struct sch_job *job)
@@ -113,6 +142,20 @@
 		sch_reply(s, call_ref, STATUS_OK, visible_state(job), 0, 0);
 }
 
+/* The state of a job that is known here is at most out of date. */
+static void tell_known_state(struct sch *s, guint64 call_ref,
+			     const struct Rp__StepCall *call)
+{
+	const char *slash = strrchr(call->path, '/');
+	const char *id = slash ? slash + 1 : call->path;
+
+	if (g_hash_table_contains(s->jobs, id))
+		tell_state(s, call_ref, id);
+	else
+		sch_reply(s, call_ref, STATUS_UNAVAILABLE,
+			  RP__JOB_STATE__JOB_STATE_NONE, 0, 1);
+}
+
 static void cancel(struct sch *s, guint64 call_ref,
 		   const struct Rp__StepCall *call, const char *id)
 {
@@ -152,6 +195,15 @@
 	const char *id = "";
 	struct sch_queue *queue;
 
+	/* A leader that is cut off may have been replaced. */
+	if (s->now_ms > s->proved_ms + PROOF_MAX_AGE_MS) {
+		if (call->verb == RP__STEP_VERB__STEP_VERB_STATE)
+			tell_known_state(s, call_ref, call);
+		else
+			sch_reply(s, call_ref, STATUS_UNAVAILABLE,
+				  RP__JOB_STATE__JOB_STATE_NONE, 0, 1);
+		return;
+	}
 	if (!s->queues) {
 		sch_reply(s, call_ref, STATUS_UNAVAILABLE,
 			  RP__JOB_STATE__JOB_STATE_NONE, 0, 1);
--- a/sched/run.c
+++ b/sched/run.c
@@ -218,19 +218,16 @@
 	struct sch_job *job = task->job;
 
 	sch_task_set_checkpoint(task, end->checkpoint);
-	if (run) {
-		if (end->kind == RP__RUN_END_KIND__RUN_END_DONE) {
-			note_duration(s, run);
-			sch_vm_forgive(vm);
-		}
-		sch_run_remove(s, run);
+	if (end->kind == RP__RUN_END_KIND__RUN_END_DONE) {
+		note_duration(s, run);
+		sch_vm_forgive(vm);
 	}
+	sch_run_remove(s, run);
 	if (sch_job_has_ended(job))
 		return;
 	switch (end->kind) {
 	case RP__RUN_END_KIND__RUN_END_DONE:
-		/* With a newer run this one was given up: its lease lapsed. */
-		if ((run || !task->n_runs) && !task->phase->step->lasts)
+		if (!task->phase->step->lasts)
 			finish(s, task);
 		break;
 	case RP__RUN_END_KIND__RUN_END_FAILED:
@@ -257,16 +254,20 @@
 	struct sch_end *note;
 	struct sch_job *job;
 	struct sch_task *task;
+	struct sch_run *run;
 
 	if (end->number <= vm->ended_seen || !end->run)
 		return;
 	vm->ended_seen = end->number;
 	g_hash_table_remove(vm->strangers, end->run->task);
 	task = sch_job_task(s, end->run->task, &job);
-	if (task)
-		apply_end(s, vm, task,
-			  sch_run_find(vm, end->run->task, end->run->attempt),
-			  end);
+	run = sch_run_find(vm, end->run->task, end->run->attempt);
+	/*
+	 * Without a run the end is in the records already, which a leader
+	 * before this one wrote, or the run was given up when its lease ended.
+	 */
+	if (task && run)
+		apply_end(s, vm, task, run, end);
 	note = g_new0(struct sch_end, 1);
 	note->number = end->number;
 	note->change = job ? job->change : 0;
