colo, sched, runs: place and pace filling tasks by pairs of images

Cause: all batch tasks of these sites fill what others leave. Ruled out: a smaller common share (tried by the step down of 40 %): services of other images were at half their target while the common share was 0. Change: colo/ learns how much each filling image slows each serving one; the leader puts filling tasks where they fit and groups services by image; agents slow only the images that are to blame. Fewer connections to workers.

--- /dev/null
+++ b/colo/colo.c
@@ -0,0 +1,132 @@
+#include "colo.h"
+
+#include <string.h>
+
+/** Own latency of a task that was not measured yet, of its target. */
+#define BASE_UNKNOWN 0.5
+
+/** Slope of a pair that was never seen: a few processors are tried. */
+#define SLOPE_UNKNOWN 0.015
+#define SLOPE_MAX 0.6
+
+/** Weight of a new sample for the own latency, with little and much beside. */
+#define BASE_WEIGHT 0.3
+#define BASE_WEIGHT_DISTURBED 0.05
+#define DISTURBED_STRETCH 0.2
+
+/** Step of the least mean squares, and what keeps it small for small uses. */
+#define LEARN_STEP 0.5
+#define LEARN_REGULAR_CPUS2 4.0
+
+/** Latencies beyond this many targets tell no more. */
+#define RATIO_MAX 8.0
+
+struct colo_table {
+	/** "serving\nfilling" to double. */
+	GHashTable *slopes;
+};
+
+struct colo_table *colo_table_new(void)
+{
+	struct colo_table *table = g_new0(struct colo_table, 1);
+
+	table->slopes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					      g_free);
+	return table;
+}
+
+void colo_table_free(struct colo_table *table)
+{
+	g_hash_table_unref(table->slopes);
+	g_free(table);
+}
+
+static double *find(const struct colo_table *table, const char *serving,
+		    const char *filling)
+{
+	g_autofree char *key = g_strconcat(serving, "\n", filling, NULL);
+
+	return g_hash_table_lookup(table->slopes, key);
+}
+
+double colo_slope(const struct colo_table *table, const char *serving,
+		  const char *filling)
+{
+	const double *slope = find(table, serving, filling);
+
+	return slope ? *slope : SLOPE_UNKNOWN;
+}
+
+gboolean colo_is_known(const struct colo_table *table, const char *serving,
+		       const char *filling)
+{
+	return find(table, serving, filling) != NULL;
+}
+
+void colo_set_slope(struct colo_table *table, const char *serving,
+		    const char *filling, double slope)
+{
+	double *known = find(table, serving, filling);
+
+	if (!known) {
+		known = g_new(double, 1);
+		g_hash_table_insert(table->slopes,
+				    g_strconcat(serving, "\n", filling, NULL),
+				    known);
+	}
+	*known = CLAMP(slope, 0, SLOPE_MAX);
+}
+
+double colo_stretch(const struct colo_table *table, const char *serving,
+		    const struct colo_use *uses, size_t n)
+{
+	double stretch = 0;
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		stretch += colo_slope(table, serving, uses[i].image) *
+			   uses[i].cpus;
+	return stretch;
+}
+
+double colo_room(const struct colo_serving *serving)
+{
+	double base = serving->base > 0 ? serving->base : BASE_UNKNOWN;
+
+	return MAX(0, 1 - base / COLO_LIMIT);
+}
+
+void colo_learn(struct colo_table *table, struct colo_serving *serving,
+		const char *image, double ratio, const struct colo_use *uses,
+		size_t n)
+{
+	double stretch = colo_stretch(table, image, uses, n);
+	double squares = LEARN_REGULAR_CPUS2;
+	double error;
+	double weight;
+	size_t i;
+
+	ratio = MIN(ratio, RATIO_MAX);
+	serving->ratio = ratio;
+	if (ratio <= 0)
+		return;
+	weight = stretch < DISTURBED_STRETCH ? BASE_WEIGHT
+					     : BASE_WEIGHT_DISTURBED;
+	if (serving->base <= 0)
+		serving->base = MIN(ratio, BASE_UNKNOWN);
+	error = 1 - serving->base / ratio - stretch;
+	for (i = 0; i < n; i++)
+		squares += uses[i].cpus * uses[i].cpus;
+	for (i = 0; i < n; i++) {
+		double slope = colo_slope(table, image, uses[i].image);
+
+		if (uses[i].cpus > 0)
+			colo_set_slope(table, image, uses[i].image,
+				       slope + LEARN_STEP * error *
+						       uses[i].cpus / squares);
+	}
+	/* What the others do not explain is the task's own load. */
+	if (stretch < 1)
+		serving->base += weight * (MIN(ratio * (1 - stretch), 1.0) -
+					   serving->base);
+}
--- /dev/null
+++ b/colo/colo.h
@@ -0,0 +1,62 @@
+#ifndef COLO_H
+#define COLO_H
+
+#include <glib.h>
+
+/*
+ * Interference between tasks of one VM: how much the tail latency of a task
+ * that serves grows with the processors that tasks which fill use beside it.
+ * It depends on the pair of images, and for most pairs it is either next to
+ * nothing or a lot.
+ *
+ * Model: latency = own latency / (1 - sum of slope x processors), as in a queue
+ * whose service time is stretched by what the others take. The slopes are
+ * learned by normalised least mean squares (Widrow and Hoff, 1960) from
+ * figures of the last half second; the own latency follows the load of the
+ * task and is tracked for each task.
+ */
+
+/** Part of the latency target that tasks are planned to stay below. */
+#define COLO_LIMIT 0.8
+
+struct colo_table;
+
+struct colo_table *colo_table_new(void);
+void colo_table_free(struct colo_table *table);
+
+/** Slope of a pair of images, per processor. */
+double colo_slope(const struct colo_table *table, const char *serving,
+		  const char *filling);
+void colo_set_slope(struct colo_table *table, const char *serving,
+		    const char *filling, double slope);
+/** FALSE if the pair was never seen. */
+gboolean colo_is_known(const struct colo_table *table, const char *serving,
+		       const char *filling);
+
+/** Processors that the tasks of one filling image use on a VM. */
+struct colo_use {
+	const char *image;
+	double cpus;
+};
+
+/** State of one task that serves; all zero at its start. */
+struct colo_serving {
+	/** Own latency relative to the target; 0 if not known yet. */
+	double base;
+	/** Last latency relative to the target. */
+	double ratio;
+};
+
+/** Stretch of the serving image by the uses, 0 for none. */
+double colo_stretch(const struct colo_table *table, const char *serving,
+		    const struct colo_use *uses, size_t n);
+
+/** Largest stretch with which the task stays below its limit. */
+double colo_room(const struct colo_serving *serving);
+
+/** Takes a latency, relative to the target, and learns from it. */
+void colo_learn(struct colo_table *table, struct colo_serving *serving,
+		const char *image, double ratio, const struct colo_use *uses,
+		size_t n);
+
+#endif
--- a/runs/hold.c
+++ b/runs/hold.c
@@ -44,6 +44,7 @@
 		g_ptr_array_add(r->running,
 				runs_copy_message(&answer->running[i]->base));
 	r->lists_due = TRUE;
+	r->figures_due = TRUE;
 }
 
 /* Returns TRUE if there is an end that the leader was not told. */
--- a/runs/internal.h
+++ b/runs/internal.h
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "../colo/colo.h"
 #include "runs.h"
 
 enum runs_phase {
@@ -39,7 +40,14 @@
 	guint32 attempt;
 	guint32 target_ms;
 	gboolean fills;
-	/** Share that it was last told, and when. */
+	char *image;
+	double cpus;
+	/** Of a task that serves. */
+	struct colo_serving serving;
+	/** Part of the room that the model is trusted with. */
+	double trust;
+	/** Share of one that fills, the one it was last told, and when. */
+	double share;
 	guint percent;
 	gint64 paced_ms;
 	guint64 pace_call;
@@ -79,9 +87,9 @@
 	guint orders_in_flight;
 	/** Task's name to struct runs_info. */
 	GHashTable *infos;
-	/** Share of the tasks that fill, and the state of its control. */
-	guint fill_percent;
-	guint over;
+	struct colo_table *colo;
+	/** Lists that came since the last control of the pace. */
+	gboolean figures_due;
 	gint64 pace_ms;
 	GArray *effects;
 };
@@ -110,6 +118,7 @@
 gboolean runs_hold_answer(struct runs *r, const struct runs_answer *answer);
 
 /* pace.c */
+void runs_info_free(gpointer info);
 void runs_pace(struct runs *r);
 void runs_pace_answer(struct runs *r, const struct runs_answer *answer);
 
--- a/runs/orders.c
+++ b/runs/orders.c
@@ -8,7 +8,7 @@
  */
 
 /** Calls under way at a time, holds excluded. */
-#define MAX_IN_FLIGHT 6
+#define MAX_IN_FLIGHT 2
 
 #define START_TIMEOUT_MS 350
 #define STOP_TIMEOUT_MS 350
@@ -81,10 +81,17 @@
 	if (!info) {
 		info = g_new0(struct runs_info, 1);
 		info->percent = 100;
+		info->share = 1;
+		info->trust = 1;
 		g_hash_table_insert(r->infos, g_strdup(start->run->task), info);
 	}
-	if (info->attempt != start->run->attempt)
+	if (info->attempt != start->run->attempt) {
 		info->percent = 100;
+		info->share = 1;
+	}
+	g_free(info->image);
+	info->image = g_strdup(start->image);
+	info->cpus = (double)start->cpu_milli / 1000;
 	info->attempt = start->run->attempt;
 	info->target_ms = start->target_ms;
 	info->fills = start->fills;
--- a/runs/pace.c
+++ b/runs/pace.c
@@ -1,66 +1,146 @@
 #include "internal.h"
 
 /*
- * Tasks that fill slow down the tasks that serve beside them. While one that
- * serves is near its latency target, those that fill are given a smaller
- * share, in large steps down and small steps up: a target that is missed costs
- * the callers of the service more than the fill work that is put off.
+ * The pace of tasks that fill beside tasks that serve. Each half second the
+ * shares are set so that, by the learned slopes, each task that serves stays
+ * below its limit; those images are slowed that slow it, not the others. If a
+ * task is over its limit all the same, what it allows is cut further and comes
+ * back step by step: a missed target costs the callers of the service more
+ * than the fill work that is put off.
  */
 
-/** Parts of the target: above the first the share falls, below the last it
- * rises. */
-#define OVER_PERCENT 85
-#define CALM_PERCENT 65
+#define PACE_INTERVAL_MS 450
 
-/** Figures are averages of the last half second. */
-#define PACE_INTERVAL_MS 500
+/** Latency, of the target, at which the model is not trusted. */
+#define OVER_RATIO 0.92
 
-#define RISE_PERCENT 10
+/** What is allowed after such a sample, and how it comes back. */
+#define TRUST_CUT 0.5
+#define TRUST_STEP 0.1
+#define TRUST_MIN 0.02
+
+/** Images below this stretch are not slowed for it. */
+#define BLAME_STRETCH 0.01
 
 /** A share below this is not worth the disturbance. */
-#define MIN_PERCENT 8
+#define SHARE_MIN 0.04
 
 #define PACE_TIMEOUT_MS 300
 
 /** A share is repeated, since a call without answer may take effect late. */
 #define REPEAT_MS 3000
 
-static void control(struct runs *r)
+#define MAX_ROWS 256
+
+void runs_info_free(gpointer data)
+{
+	struct runs_info *info = data;
+
+	g_free(info->image);
+	g_free(info);
+}
+
+static struct runs_info *row_info(const struct runs *r, guint i)
 {
-	guint worst = 0;
+	const struct Rp__RunRow *row = r->running->pdata[i];
+
+	return g_hash_table_lookup(r->infos, row->run->task);
+}
+
+static void sample(struct runs *r, const struct Rp__RunRow *row,
+		   struct runs_info *info, const struct colo_use *uses,
+		   size_t n)
+{
+	double ratio = (double)row->figure / info->target_ms;
+
+	if (row->percent < 100)
+		return;
+	colo_learn(r->colo, &info->serving, info->image, ratio, uses, n);
+	if (ratio > OVER_RATIO)
+		info->trust = MAX(info->trust * TRUST_CUT, TRUST_MIN);
+	else
+		info->trust = MIN(info->trust + TRUST_STEP, 1);
+}
+
+/* Slows what slows this task until it has room. */
+static void make_room(struct runs *r, const struct runs_info *serving)
+{
+	double room = colo_room(&serving->serving) * serving->trust;
+	gboolean over = serving->serving.ratio > OVER_RATIO;
+	double blamed = 0;
+	double stretch = 0;
+	double factor;
 	guint i;
 
 	for (i = 0; i < r->running->len; i++) {
+		const struct runs_info *info = row_info(r, i);
+		double part;
+
+		if (!info || !info->fills)
+			continue;
+		part = colo_slope(r->colo, serving->image, info->image) *
+		       info->cpus * info->share;
+		stretch += part;
+		if (part > BLAME_STRETCH)
+			blamed += part;
+	}
+	if (stretch <= room && !over)
+		return;
+	/* Without an image to blame, all are slowed and the blame is learned. */
+	factor = blamed > 0 ? MAX(0, room - (stretch - blamed)) / blamed : 0.5;
+	for (i = 0; i < r->running->len; i++) {
+		struct runs_info *info = row_info(r, i);
+		double part;
+
+		if (!info || !info->fills)
+			continue;
+		part = colo_slope(r->colo, serving->image, info->image) *
+		       info->cpus * info->share;
+		if (blamed <= 0 || part > BLAME_STRETCH)
+			info->share *= MIN(factor, 1);
+	}
+}
+
+static void control(struct runs *r)
+{
+	struct colo_use uses[MAX_ROWS];
+	size_t n = 0;
+	guint i;
+
+	for (i = 0; i < r->running->len && n < MAX_ROWS; i++) {
 		const struct Rp__RunRow *row = r->running->pdata[i];
-		const struct runs_info *info =
-			g_hash_table_lookup(r->infos, row->run->task);
+		struct runs_info *info = row_info(r, i);
+
+		if (!info || !info->fills)
+			continue;
+		uses[n].image = info->image;
+		uses[n++].cpus = (double)row->figure / 1000;
+		info->share = 1;
+	}
+	for (i = 0; i < r->running->len; i++) {
+		struct runs_info *info = row_info(r, i);
 
 		if (info && info->target_ms)
-			worst = MAX(worst, row->figure * 100 / info->target_ms);
+			sample(r, r->running->pdata[i], info, uses, n);
 	}
-	if (worst > OVER_PERCENT) {
-		r->over++;
-		r->fill_percent = r->over > 2 ? 0 : r->fill_percent * 2 / 5;
-		if (r->fill_percent < MIN_PERCENT)
-			r->fill_percent = 0;
-	} else if (worst < CALM_PERCENT) {
-		r->over = 0;
-		r->fill_percent = MIN(r->fill_percent + RISE_PERCENT, 100);
-	} else {
-		r->over = 0;
+	for (i = 0; i < r->running->len; i++) {
+		const struct runs_info *info = row_info(r, i);
+
+		if (info && info->target_ms)
+			make_room(r, info);
 	}
 }
 
 static void send_pace(struct runs *r, const struct Rp__RunRow *row,
-		      struct runs_info *info)
+		      struct runs_info *info, guint percent)
 {
 	struct runs_call *call = runs_call_new(r, RUNS_CALL_PACE,
 					       PACE_TIMEOUT_MS);
 
 	call->task = g_strdup(row->run->task);
 	call->attempt = row->run->attempt;
-	call->percent = r->fill_percent;
-	info->percent = r->fill_percent;
+	call->percent = percent;
+	info->percent = percent;
 	info->paced_ms = r->now_ms;
 	info->pace_call = call->id;
 	runs_call_send(r, call);
@@ -70,21 +150,30 @@
 {
 	guint i;
 
-	if (!r->lists_valid || r->now_ms < r->pace_ms + PACE_INTERVAL_MS)
+	if (!r->lists_valid || !r->figures_due ||
+	    r->now_ms < r->pace_ms + PACE_INTERVAL_MS)
 		return;
 	r->pace_ms = r->now_ms;
+	r->figures_due = FALSE;
 	control(r);
 	for (i = 0; i < r->running->len; i++) {
 		const struct Rp__RunRow *row = r->running->pdata[i];
-		struct runs_info *info =
-			g_hash_table_lookup(r->infos, row->run->task);
+		struct runs_info *info = row_info(r, i);
+		guint percent;
 
-		if (!info || !info->fills || info->pace_call ||
-		    (info->percent == r->fill_percent &&
-		     (info->percent == 100 ||
-		      r->now_ms < info->paced_ms + REPEAT_MS)))
+		if (!info || !info->fills || info->pace_call)
+			continue;
+		percent = info->share < SHARE_MIN ? 0
+						  : (guint)(info->share * 100);
+		/* Small steps are not worth a call. */
+		if (ABS((int)percent - (int)info->percent) < 4 &&
+		    percent != 0 && percent != 100)
+			percent = info->percent;
+		if (info->percent == percent &&
+		    (percent == 100 ||
+		     r->now_ms < info->paced_ms + REPEAT_MS))
 			continue;
-		send_pace(r, row, info);
+		send_pace(r, row, info, percent);
 	}
 }
 
--- a/runs/runs.c
+++ b/runs/runs.c
@@ -13,13 +13,13 @@
 	struct runs *r = g_new0(struct runs, 1);
 
 	r->next_call = 1;
-	r->fill_percent = 100;
+	r->colo = colo_table_new();
 	r->running = g_ptr_array_new();
 	r->ended = g_ptr_array_new();
 	r->answers = g_ptr_array_new();
 	r->orders = g_ptr_array_new_with_free_func(runs_order_free);
 	r->infos = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					 g_free);
+					 runs_info_free);
 	return r;
 }
 
@@ -48,6 +48,7 @@
 	free_messages(r->answers);
 	g_ptr_array_unref(r->orders);
 	g_hash_table_unref(r->infos);
+	colo_table_free(r->colo);
 	if (r->worker)
 		rp__worker_info__free_unpacked(r->worker, NULL);
 	g_free(r);
@@ -141,7 +142,6 @@
 	r->hold_call = 0;
 	r->holds_lost = 0;
 	r->next_hold_ms = 0;
-	r->fill_percent = 100;
 	r->orders_in_flight = 0;
 	r->answered_ms = r->now_ms;
 }
@@ -208,12 +208,18 @@
 
 static void take_orders(struct runs *r, const struct Rp__VmOrders *orders)
 {
+	size_t i;
+
 	if (orders->fence != r->fence || !r->worker || r->worker->gone ||
 	    strcmp(orders->worker_id, r->worker->worker_id) ||
 	    orders->worker_born_ms != r->worker->born_ms)
 		return;
 	r->lease_until_ms = MAX(r->lease_until_ms, orders->lease_until_ms);
 	r->ended_through = MAX(r->ended_through, orders->ended_through);
+	for (i = 0; i < orders->n_pairs; i++)
+		colo_set_slope(r->colo, orders->pairs[i]->serving,
+			       orders->pairs[i]->filling,
+			       orders->pairs[i]->slope);
 	runs_orders_take(r, orders);
 }
 
--- /dev/null
+++ b/sched/interfere.c
@@ -0,0 +1,167 @@
+#include "internal.h"
+
+/*
+ * Which tasks that fill may run beside which tasks that serve. All workers
+ * teach one table, so that a pair that hurts on one is avoided on all.
+ */
+
+/** Tasks that serve use this part of what they ask for, on average. */
+#define SERVING_LOAD 0.5
+
+/** Images that fill on one VM; more are counted together with the last. */
+#define MAX_USES 16
+
+static void add_use(struct colo_use *uses, size_t *n, const char *image,
+		    double cpus)
+{
+	size_t i;
+
+	for (i = 0; i < *n; i++)
+		if (!strcmp(uses[i].image, image))
+			break;
+	if (i == *n && *n < MAX_USES) {
+		uses[i].image = image;
+		uses[i].cpus = 0;
+		(*n)++;
+	}
+	uses[MIN(i, MAX_USES - 1)].cpus += cpus;
+}
+
+static double declared_cpus(const struct sch_run *run)
+{
+	return (double)run->task->phase->step->need->cpu_milli / 1000;
+}
+
+void sch_interfere_learn(struct sch *s, struct sch_vm *vm,
+			 const struct Rp__VmReport *report)
+{
+	struct colo_use uses[MAX_USES];
+	size_t n = 0;
+	size_t i;
+
+	for (i = 0; i < report->n_running; i++) {
+		const struct Rp__RunRow *row = report->running[i];
+		struct sch_run *run = sch_run_find(vm, row->run->task,
+						   row->run->attempt);
+
+		if (!run || !run->task->phase->step->fills)
+			continue;
+		run->cpus = (double)row->figure / 1000;
+		add_use(uses, &n, run->task->phase->step->image, run->cpus);
+	}
+	for (i = 0; i < report->n_running; i++) {
+		const struct Rp__RunRow *row = report->running[i];
+		struct sch_run *run = sch_run_find(vm, row->run->task,
+						   row->run->attempt);
+
+		if (!run || !run->task->phase->step->target_ms ||
+		    row->percent < 100)
+			continue;
+		colo_learn(s->colo, &run->serving, run->task->phase->step->image,
+			   (double)row->figure /
+				   run->task->phase->step->target_ms,
+			   uses, n);
+	}
+}
+
+/* Processors that tasks which fill can use there. */
+static double unused_cpus(const struct sch_vm *vm)
+{
+	double used = 0;
+	guint i;
+
+	for (i = 0; i < vm->runs->len; i++) {
+		const struct sch_run *run = vm->runs->pdata[i];
+		const struct Rp__StepSpec *step = run->task->phase->step;
+
+		if (!step->fills)
+			used += declared_cpus(run) *
+				(step->target_ms ? SERVING_LOAD : 1);
+	}
+	return (double)vm->capacity.cpu_milli / 1000 - used;
+}
+
+double sch_interfere_share(struct sch *s, const struct sch_vm *vm,
+			   const struct Rp__StepSpec *step)
+{
+	double cpus = (double)step->need->cpu_milli / 1000;
+	double unused = unused_cpus(vm) - (double)vm->fill_milli / 1000;
+	double share = CLAMP(unused / MAX(cpus, 0.001), 0, 1);
+	struct colo_use uses[MAX_USES];
+	size_t n = 0;
+	guint i;
+
+	for (i = 0; i < vm->runs->len; i++) {
+		const struct sch_run *run = vm->runs->pdata[i];
+
+		if (run->task->phase->step->fills)
+			add_use(uses, &n, run->task->phase->step->image,
+				declared_cpus(run));
+	}
+	for (i = 0; i < vm->runs->len; i++) {
+		const struct sch_run *run = vm->runs->pdata[i];
+		const struct Rp__StepSpec *other = run->task->phase->step;
+		double slope;
+		double room;
+
+		if (!other->target_ms)
+			continue;
+		slope = colo_slope(s->colo, other->image, step->image);
+		room = colo_room(&run->serving) -
+		       colo_stretch(s->colo, other->image, uses, n);
+		if (slope * cpus > MAX(room, 0))
+			share = MIN(share, MAX(room, 0) / (slope * cpus));
+	}
+	return share;
+}
+
+static gboolean is_new(const struct Rp__VmOrders *orders, const char *serving,
+		       const char *filling)
+{
+	size_t i;
+
+	for (i = 0; i < orders->n_pairs; i++)
+		if (!strcmp(orders->pairs[i]->serving, serving) &&
+		    !strcmp(orders->pairs[i]->filling, filling))
+			return FALSE;
+	return TRUE;
+}
+
+static void add_pair(struct sch *s, struct Rp__VmOrders *orders,
+		     const char *serving, const char *filling)
+{
+	struct Rp__ImagePair *pair = g_malloc(sizeof(*pair));
+
+	rp__image_pair__init(pair);
+	wire_set_string(&pair->serving, serving);
+	wire_set_string(&pair->filling, filling);
+	pair->slope = colo_slope(s->colo, serving, filling);
+	orders->pairs = g_renew(struct Rp__ImagePair *, orders->pairs,
+				orders->n_pairs + 1);
+	orders->pairs[orders->n_pairs++] = pair;
+}
+
+void sch_interfere_tell(struct sch *s, const struct sch_vm *vm,
+			struct Rp__VmOrders *orders)
+{
+	guint i;
+	guint k;
+
+	for (i = 0; i < vm->runs->len; i++) {
+		const struct sch_run *run = vm->runs->pdata[i];
+		const struct Rp__StepSpec *serving = run->task->phase->step;
+
+		for (k = 0; serving->target_ms && k < vm->runs->len; k++) {
+			const struct sch_run *other = vm->runs->pdata[k];
+			const struct Rp__StepSpec *filling =
+				other->task->phase->step;
+
+			if (filling->fills &&
+			    is_new(orders, serving->image, filling->image) &&
+			    colo_is_known(s->colo, serving->image,
+					  filling->image))
+				add_pair(s, orders, serving->image,
+					 filling->image);
+		}
+	}
+}
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "../colo/colo.h"
 #include "sched.h"
 
 /** Runs of one task at a time; the second is a speculative copy. */
@@ -122,6 +123,10 @@
 	gint64 first_percent_ms;
 	/** Amount taken on the VM. */
 	struct sch_amount taken;
+	/** Of a task that serves. */
+	struct colo_serving serving;
+	/** Processors that a task that fills uses now. */
+	double cpus;
 };
 
 struct sch_task {
@@ -228,6 +233,7 @@
 	GHashTable *vms;
 	/** Queue's name to struct sch_demand. */
 	GHashTable *demands;
+	struct colo_table *colo;
 	/** Jobs with changes to write, oldest change first. */
 	GQueue dirty;
 	guint64 next_change;
@@ -322,6 +328,17 @@
 /** Plans a copy of the run's task on another worker, if one has room. */
 void sch_place_copy(struct sch *s, struct sch_run *run);
 
+/* interfere.c */
+/** Learns from the figures of a list. */
+void sch_interfere_learn(struct sch *s, struct sch_vm *vm,
+			 const struct Rp__VmReport *report);
+/** Share of its pace, 0 to 1, that a task that fills could have on the VM. */
+double sch_interfere_share(struct sch *s, const struct sch_vm *vm,
+			   const struct Rp__StepSpec *step);
+/** Adds the slopes of the images on the VM. */
+void sch_interfere_tell(struct sch *s, const struct sch_vm *vm,
+			struct Rp__VmOrders *orders);
+
 /* move.c */
 /** Stops runs that are better off elsewhere. */
 void sch_move(struct sch *s);
--- a/sched/place.c
+++ b/sched/place.c
@@ -22,6 +22,9 @@
 /** A finding that a worker is slow is forgotten after so long. */
 #define SLOWNESS_MS 6000
 
+/** Tasks that fill wait for a worker that lets them have this share. */
+#define MIN_FILL_SHARE 0.4
+
 enum urgency {
 	URGENCY_IN_TIME,
 	URGENCY_LATE,
@@ -148,6 +151,23 @@
 	return !vm->faults || !task->failures;
 }
 
+/* Images that serve on the VM, but for the one given. */
+static guint others_serving(const struct sch_vm *vm, const char *image)
+{
+	guint n = 0;
+	guint i;
+
+	for (i = 0; i < vm->runs->len; i++) {
+		const struct Rp__StepSpec *step =
+			((struct sch_run *)vm->runs->pdata[i])
+				->task->phase->step;
+
+		if (step->target_ms && strcmp(step->image, image))
+			n++;
+	}
+	return n;
+}
+
 /* Lower is better. */
 static double score(const struct sch *s, const struct sch_vm *vm,
 		    const struct sch_task *task)
@@ -157,12 +177,14 @@
 	double used = (double)vm->used.cpu_milli / capacity;
 	double points = used;
 
-	if (step->lasts) {
+	if (step->target_ms) {
+		/* Few images that serve on a VM leave more that fill beside. */
+		points = 2 * others_serving(vm, step->image) - used;
+	} else if (step->lasts) {
 		/* Spread, so that the loss of one VM costs least. */
 		points = 4.0 * count_on(vm, task->phase) + used;
 	} else if (step->fills) {
-		points = 0.3 * vm->serving + used +
-			 (double)vm->fill_milli / capacity;
+		points = used + (double)vm->fill_milli / capacity;
 	} else {
 		/* Large tasks find room elsewhere if this one fills gaps. */
 		points = 1 - used;
@@ -194,6 +216,14 @@
 		    !may_run(s, vm, task, rack))
 			continue;
 		points = score(s, vm, task);
+		if (task->phase->step->fills) {
+			double share = sch_interfere_share(s, vm,
+							   task->phase->step);
+
+			if (share < MIN_FILL_SHARE)
+				continue;
+			points += 3 * (1 - share);
+		}
 		if (!best || points < best_score) {
 			best = vm;
 			best_score = points;
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -60,6 +60,7 @@
 	s->vms = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_vm);
 	s->demands = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					   g_free);
+	s->colo = colo_table_new();
 	s->active = g_ptr_array_new();
 	s->closing = g_ptr_array_new();
 	s->next_change = 1;
@@ -77,6 +78,7 @@
 	g_ptr_array_unref(s->closing);
 	g_hash_table_unref(s->jobs);
 	g_hash_table_unref(s->demands);
+	colo_table_free(s->colo);
 	if (s->queues)
 		g_ptr_array_unref(s->queues);
 	g_free(s);
--- a/sched/vm.c
+++ b/sched/vm.c
@@ -297,6 +297,10 @@
 			run->state = SCH_RUN_ORDERED;
 			run->state_ms = s->now_ms;
 			g_ptr_array_add(vm->starts, run);
+		} else if (run->task->phase->step->target_ms ||
+			   run->task->phase->step->fills) {
+			/* A restarted agent does not know what it paces. */
+			g_ptr_array_add(vm->starts, run);
 		}
 	}
 	vm->synced = TRUE;
@@ -332,6 +336,7 @@
 		g_hash_table_add(vm->strangers, g_strdup(row->run->task));
 		order_stop(vm, row->run);
 	}
+	sch_interfere_learn(s, vm, report);
 }
 
 /* An outdated start ended before; its end comes first if it is not known. */
@@ -498,6 +503,8 @@
 	wire_set_string(&start->checkpoint, task->checkpoint);
 	start->target_ms = task->phase->step->target_ms;
 	start->fills = task->phase->step->fills;
+	wire_set_string(&start->image, task->phase->step->image);
+	start->cpu_milli = task->phase->step->need->cpu_milli;
 	return start;
 }
 
@@ -540,6 +547,7 @@
 		orders->lease_until_ms = vm->lease_until_ms;
 		orders->ended_through = vm->ended_through;
 		fill_orders(vm, orders);
+		sch_interfere_tell(s, vm, orders);
 	}
 	vm->orders_ms = s->now_ms;
 	vm->ack_due = FALSE;
--- a/wire/rp.pb-c.c
+++ b/wire/rp.pb-c.c
@@ -1762,6 +1762,51 @@
   assert(message->base.descriptor == &rp__run_start__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   rp__image_pair__init
+                     (Rp__ImagePair         *message)
+{
+  static const Rp__ImagePair init_value = RP__IMAGE_PAIR__INIT;
+  *message = init_value;
+}
+size_t rp__image_pair__get_packed_size
+                     (const Rp__ImagePair *message)
+{
+  assert(message->base.descriptor == &rp__image_pair__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rp__image_pair__pack
+                     (const Rp__ImagePair *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rp__image_pair__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rp__image_pair__pack_to_buffer
+                     (const Rp__ImagePair *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rp__image_pair__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rp__ImagePair *
+       rp__image_pair__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rp__ImagePair *)
+     protobuf_c_message_unpack (&rp__image_pair__descriptor,
+                                allocator, len, data);
+}
+void   rp__image_pair__free_unpacked
+                     (Rp__ImagePair *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp__image_pair__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   rp__vm_orders__init
                      (Rp__VmOrders         *message)
 {
@@ -5403,7 +5448,7 @@
   (ProtobufCMessageInit) rp__run_name__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp__run_start__field_descriptors[6] =
+static const ProtobufCFieldDescriptor rp__run_start__field_descriptors[8] =
 {
   {
     "run",
@@ -5477,10 +5522,36 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "image",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rp__RunStart, image),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cpu_milli",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Rp__RunStart, cpu_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rp__run_start__field_indices_by_name[] = {
   2,   /* field[2] = checkpoint */
+  7,   /* field[7] = cpu_milli */
   5,   /* field[5] = fills */
+  6,   /* field[6] = image */
   1,   /* field[1] = payload */
   0,   /* field[0] = run */
   4,   /* field[4] = target_ms */
@@ -5489,7 +5560,7 @@
 static const ProtobufCIntRange rp__run_start__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor rp__run_start__descriptor =
 {
@@ -5499,14 +5570,78 @@
   "Rp__RunStart",
   "rp",
   sizeof(Rp__RunStart),
-  6,
+  8,
   rp__run_start__field_descriptors,
   rp__run_start__field_indices_by_name,
   1,  rp__run_start__number_ranges,
   (ProtobufCMessageInit) rp__run_start__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp__vm_orders__field_descriptors[7] =
+static const ProtobufCFieldDescriptor rp__image_pair__field_descriptors[3] =
+{
+  {
+    "serving",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rp__ImagePair, serving),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "filling",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rp__ImagePair, filling),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slope",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Rp__ImagePair, slope),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rp__image_pair__field_indices_by_name[] = {
+  1,   /* field[1] = filling */
+  0,   /* field[0] = serving */
+  2,   /* field[2] = slope */
+};
+static const ProtobufCIntRange rp__image_pair__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor rp__image_pair__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rp.ImagePair",
+  "ImagePair",
+  "Rp__ImagePair",
+  "rp",
+  sizeof(Rp__ImagePair),
+  3,
+  rp__image_pair__field_descriptors,
+  rp__image_pair__field_indices_by_name,
+  1,  rp__image_pair__number_ranges,
+  (ProtobufCMessageInit) rp__image_pair__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp__vm_orders__field_descriptors[8] =
 {
   {
     "fence",
@@ -5592,11 +5727,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "pairs",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rp__VmOrders, n_pairs),
+    offsetof(Rp__VmOrders, pairs),
+    &rp__image_pair__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rp__vm_orders__field_indices_by_name[] = {
   4,   /* field[4] = ended_through */
   0,   /* field[0] = fence */
   3,   /* field[3] = lease_until_ms */
+  7,   /* field[7] = pairs */
   5,   /* field[5] = starts */
   6,   /* field[6] = stops */
   2,   /* field[2] = worker_born_ms */
@@ -5605,7 +5753,7 @@
 static const ProtobufCIntRange rp__vm_orders__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor rp__vm_orders__descriptor =
 {
@@ -5615,7 +5763,7 @@
   "Rp__VmOrders",
   "rp",
   sizeof(Rp__VmOrders),
-  7,
+  8,
   rp__vm_orders__field_descriptors,
   rp__vm_orders__field_indices_by_name,
   1,  rp__vm_orders__number_ranges,
--- a/wire/rp.pb-c.h
+++ b/wire/rp.pb-c.h
@@ -54,6 +54,7 @@
 typedef struct Rp__NodeBeat Rp__NodeBeat;
 typedef struct Rp__RunName Rp__RunName;
 typedef struct Rp__RunStart Rp__RunStart;
+typedef struct Rp__ImagePair Rp__ImagePair;
 typedef struct Rp__VmOrders Rp__VmOrders;
 typedef struct Rp__WorkerInfo Rp__WorkerInfo;
 typedef struct Rp__RunRow Rp__RunRow;
@@ -866,10 +867,27 @@
    * Uses processors that others leave unused. 
    */
   protobuf_c_boolean fills;
+  char *image;
+  int64_t cpu_milli;
 };
 #define RP__RUN_START__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rp__run_start__descriptor) \
-    , NULL, {0,NULL}, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+    , NULL, {0,NULL}, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * How much a filling image slows a serving one, per processor used. 
+ */
+struct  Rp__ImagePair
+{
+  ProtobufCMessage base;
+  char *serving;
+  char *filling;
+  double slope;
+};
+#define RP__IMAGE_PAIR__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rp__image_pair__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
@@ -890,10 +908,15 @@
   Rp__RunStart **starts;
   size_t n_stops;
   Rp__RunName **stops;
+  /*
+   * Of the images on the VM. 
+   */
+  size_t n_pairs;
+  Rp__ImagePair **pairs;
 };
 #define RP__VM_ORDERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rp__vm_orders__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
 struct  Rp__WorkerInfo
@@ -1999,6 +2022,25 @@
 void   rp__run_start__free_unpacked
                      (Rp__RunStart *message,
                       ProtobufCAllocator *allocator);
+/* Rp__ImagePair methods */
+void   rp__image_pair__init
+                     (Rp__ImagePair         *message);
+size_t rp__image_pair__get_packed_size
+                     (const Rp__ImagePair   *message);
+size_t rp__image_pair__pack
+                     (const Rp__ImagePair   *message,
+                      uint8_t             *out);
+size_t rp__image_pair__pack_to_buffer
+                     (const Rp__ImagePair   *message,
+                      ProtobufCBuffer     *buffer);
+Rp__ImagePair *
+       rp__image_pair__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rp__image_pair__free_unpacked
+                     (Rp__ImagePair *message,
+                      ProtobufCAllocator *allocator);
 /* Rp__VmOrders methods */
 void   rp__vm_orders__init
                      (Rp__VmOrders         *message);
@@ -2403,6 +2445,9 @@
 typedef void (*Rp__RunStart_Closure)
                  (const Rp__RunStart *message,
                   void *closure_data);
+typedef void (*Rp__ImagePair_Closure)
+                 (const Rp__ImagePair *message,
+                  void *closure_data);
 typedef void (*Rp__VmOrders_Closure)
                  (const Rp__VmOrders *message,
                   void *closure_data);
@@ -2502,6 +2547,7 @@
 extern const ProtobufCMessageDescriptor rp__node_beat__descriptor;
 extern const ProtobufCMessageDescriptor rp__run_name__descriptor;
 extern const ProtobufCMessageDescriptor rp__run_start__descriptor;
+extern const ProtobufCMessageDescriptor rp__image_pair__descriptor;
 extern const ProtobufCMessageDescriptor rp__vm_orders__descriptor;
 extern const ProtobufCMessageDescriptor rp__worker_info__descriptor;
 extern const ProtobufCMessageDescriptor rp__run_row__descriptor;
