sched: pack serving tasks on few workers

Change: a fuller worker first; other images count a little. Ruled out: no grouping at all (not run).

--- a/sched/place.c
+++ b/sched/place.c
@@ -179,7 +179,7 @@
 
 	if (step->target_ms) {
 		/* Few images that serve on a VM leave more that fill beside. */
-		points = 2 * others_serving(vm, step->image) - used;
+		points = 0.15 * others_serving(vm, step->image) - 2 * used;
 	} else if (step->lasts) {
 		/* Spread, so that the loss of one VM costs least. */
 		points = 4.0 * count_on(vm, task->phase) + used;
