sched: move filling tasks that are held up

Change: one that saves its work is stopped, which saves it, after 1.5 s, if another worker allows it 0.8 of its pace; one move for each check.

--- a/sched/interfere.c
+++ b/sched/interfere.c
@@ -8,6 +8,9 @@
 /** Tasks that serve use this part of what they ask for, on average. */
 #define SERVING_LOAD 0.5
 
+/** A task that fills is held up if it has less of what it declared. */
+#define FAIR_PART 0.3
+
 /** Images that fill on one VM; more are counted together with the last. */
 #define MAX_USES 16
 
@@ -47,6 +50,9 @@
 		if (!run || !run->task->phase->step->fills)
 			continue;
 		run->cpus = (double)row->figure / 1000;
+		if (run->cpus > FAIR_PART * declared_cpus(run) ||
+		    !run->fair_ms)
+			run->fair_ms = s->now_ms;
 		add_use(uses, &n, run->task->phase->step->image, run->cpus);
 	}
 	for (i = 0; i < report->n_running; i++) {
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -125,8 +125,10 @@
 	struct sch_amount taken;
 	/** Of a task that serves. */
 	struct colo_serving serving;
-	/** Processors that a task that fills uses now. */
+	/** Processors that a task that fills uses now, and when it last had a
+	 * fair part of what it declared. */
 	double cpus;
+	gint64 fair_ms;
 };
 
 struct sch_task {
@@ -327,6 +329,9 @@
 void sch_place(struct sch *s);
 /** Plans a copy of the run's task on another worker, if one has room. */
 void sch_place_copy(struct sch *s, struct sch_run *run);
+/** TRUE if another worker would let the run's task have the share. */
+gboolean sch_place_has_better(struct sch *s, const struct sch_run *run,
+			      double share);
 
 /* interfere.c */
 /** Learns from the figures of a list. */
--- a/sched/move.c
+++ b/sched/move.c
@@ -15,6 +15,14 @@
 /** A worker that leaves is left this long before. */
 #define LEAVE_MARGIN_MS 700
 
+/**
+ * A task that fills moves after being held up for so long, if another worker
+ * lets it have this share; one that is nearly done stays.
+ */
+#define HELD_UP_MS 1500
+#define HELD_UP_PERCENT 90
+#define BETTER_SHARE 0.8
+
 /** A copy is started if a task takes this many times what it should. */
 #define COPY_FACTOR 2.0
 #define COPY_MIN_MS 400
@@ -77,6 +85,17 @@
 	       run->vm->silent_ms < STUCK_MIN_MS;
 }
 
+/* A task that fills and saves its work goes where it is not held up. */
+static gboolean is_held_up(struct sch *s, const struct sch_run *run)
+{
+	const struct Rp__StepSpec *step = run->task->phase->step;
+
+	return step->fills && step->checkpoints && !step->gang &&
+	       run->state == SCH_RUN_RUNNING && run->percent < HELD_UP_PERCENT &&
+	       run->fair_ms && s->now_ms - run->fair_ms > HELD_UP_MS &&
+	       sch_place_has_better(s, run, BETTER_SHARE);
+}
+
 static gboolean wants_copy(struct sch *s, const struct sch_run *run)
 {
 	const struct Rp__StepSpec *step = run->task->phase->step;
@@ -109,6 +128,10 @@
 					 run->name, run->percent);
 			sch_vm_fault(s, vm, run->task->job);
 			sch_run_stop(s, run);
+		} else if (is_held_up(s, run)) {
+			s->stats.moved++;
+			sch_run_stop(s, run);
+			return;
 		} else if (wants_copy(s, run)) {
 			sch_place_copy(s, run);
 		}
--- a/sched/place.c
+++ b/sched/place.c
@@ -351,6 +351,22 @@
 	}
 }
 
+gboolean sch_place_has_better(struct sch *s, const struct sch_run *run,
+			      double share)
+{
+	const struct sch_task *task = run->task;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, s->vms);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (has_room(value, task->phase->step) &&
+		    may_run(s, value, task, NULL) &&
+		    sch_interfere_share(s, value, task->phase->step) >= share)
+			return TRUE;
+	return FALSE;
+}
+
 void sch_place_copy(struct sch *s, struct sch_run *run)
 {
 	struct sch_task *task = run->task;
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -137,6 +137,7 @@
 	guint64 lost_runs;
 	guint64 preempted;
 	guint64 copies;
+	guint64 moved;
 	guint64 commits;
 };
 
