colo: take the own load of serving tasks from their siblings

Change: tasks of one step share their load, so the least disturbed of three or more tells it; the step of learning falls with a pair's samples.

--- a/colo/colo.c
+++ b/colo/colo.c
@@ -14,47 +14,70 @@
 #define BASE_WEIGHT_DISTURBED 0.05
 #define DISTURBED_STRETCH 0.2
 
-/** Step of the least mean squares, and what keeps it small for small uses. */
-#define LEARN_STEP 0.5
+/** Step of the least mean squares, which falls with a pair's samples, and what
+ * keeps it small for small uses. */
+#define LEARN_STEP 0.8
+#define LEARN_STEP_MIN 0.15
+#define LEARN_SAMPLES 4.0
 #define LEARN_REGULAR_CPUS2 4.0
 
 /** Latencies beyond this many targets tell no more. */
 #define RATIO_MAX 8.0
 
+struct pair {
+	double slope;
+	guint samples;
+};
+
 struct colo_table {
-	/** "serving\nfilling" to double. */
-	GHashTable *slopes;
+	/** "serving\nfilling" to struct pair. */
+	GHashTable *pairs;
 };
 
 struct colo_table *colo_table_new(void)
 {
 	struct colo_table *table = g_new0(struct colo_table, 1);
 
-	table->slopes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					      g_free);
+	table->pairs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					     g_free);
 	return table;
 }
 
 void colo_table_free(struct colo_table *table)
 {
-	g_hash_table_unref(table->slopes);
+	g_hash_table_unref(table->pairs);
 	g_free(table);
 }
 
-static double *find(const struct colo_table *table, const char *serving,
-		    const char *filling)
+static struct pair *find(const struct colo_table *table, const char *serving,
+			 const char *filling)
 {
 	g_autofree char *key = g_strconcat(serving, "\n", filling, NULL);
 
-	return g_hash_table_lookup(table->slopes, key);
+	return g_hash_table_lookup(table->pairs, key);
+}
+
+static struct pair *find_or_add(struct colo_table *table, const char *serving,
+				const char *filling)
+{
+	struct pair *pair = find(table, serving, filling);
+
+	if (!pair) {
+		pair = g_new0(struct pair, 1);
+		pair->slope = SLOPE_UNKNOWN;
+		g_hash_table_insert(table->pairs,
+				    g_strconcat(serving, "\n", filling, NULL),
+				    pair);
+	}
+	return pair;
 }
 
 double colo_slope(const struct colo_table *table, const char *serving,
 		  const char *filling)
 {
-	const double *slope = find(table, serving, filling);
+	const struct pair *pair = find(table, serving, filling);
 
-	return slope ? *slope : SLOPE_UNKNOWN;
+	return pair ? pair->slope : SLOPE_UNKNOWN;
 }
 
 gboolean colo_is_known(const struct colo_table *table, const char *serving,
@@ -66,15 +89,8 @@
 void colo_set_slope(struct colo_table *table, const char *serving,
 		    const char *filling, double slope)
 {
-	double *known = find(table, serving, filling);
-
-	if (!known) {
-		known = g_new(double, 1);
-		g_hash_table_insert(table->slopes,
-				    g_strconcat(serving, "\n", filling, NULL),
-				    known);
-	}
-	*known = CLAMP(slope, 0, SLOPE_MAX);
+	find_or_add(table, serving, filling)->slope = CLAMP(slope, 0,
+							    SLOPE_MAX);
 }
 
 double colo_stretch(const struct colo_table *table, const char *serving,
@@ -112,21 +128,28 @@
 		return;
 	weight = stretch < DISTURBED_STRETCH ? BASE_WEIGHT
 					     : BASE_WEIGHT_DISTURBED;
-	if (serving->base <= 0)
+	if (serving->told_base > 0)
+		serving->base = serving->told_base;
+	else if (serving->base <= 0)
 		serving->base = MIN(ratio, BASE_UNKNOWN);
 	error = 1 - serving->base / ratio - stretch;
 	for (i = 0; i < n; i++)
 		squares += uses[i].cpus * uses[i].cpus;
 	for (i = 0; i < n; i++) {
-		double slope = colo_slope(table, image, uses[i].image);
-
-		if (uses[i].cpus > 0)
-			colo_set_slope(table, image, uses[i].image,
-				       slope + LEARN_STEP * error *
-						       uses[i].cpus / squares);
+		struct pair *pair;
+		double step;
+
+		if (uses[i].cpus <= 0)
+			continue;
+		pair = find_or_add(table, image, uses[i].image);
+		step = MAX(LEARN_STEP_MIN,
+			   LEARN_STEP / (1 + pair->samples++ / LEARN_SAMPLES));
+		pair->slope = CLAMP(pair->slope + step * error * uses[i].cpus /
+							  squares,
+				    0, SLOPE_MAX);
 	}
 	/* What the others do not explain is the task's own load. */
-	if (stretch < 1)
+	if (stretch < 1 && serving->told_base <= 0)
 		serving->base += weight * (MIN(ratio * (1 - stretch), 1.0) -
 					   serving->base);
 }
--- a/colo/colo.h
+++ b/colo/colo.h
@@ -45,6 +45,11 @@
 	double base;
 	/** Last latency relative to the target. */
 	double ratio;
+	/**
+	 * Own latency as others tell it: the least of the tasks that share the
+	 * load with this one; 0 if there are none.
+	 */
+	double told_base;
 };
 
 /** Stretch of the serving image by the uses, 0 for none. */
--- a/runs/runs.c
+++ b/runs/runs.c
@@ -220,6 +220,13 @@
 		colo_set_slope(r->colo, orders->pairs[i]->serving,
 			       orders->pairs[i]->filling,
 			       orders->pairs[i]->slope);
+	for (i = 0; i < orders->n_bases; i++) {
+		struct runs_info *info = g_hash_table_lookup(
+			r->infos, orders->bases[i]->task);
+
+		if (info)
+			info->serving.told_base = orders->bases[i]->ratio;
+	}
 	runs_orders_take(r, orders);
 }
 
--- a/sched/interfere.c
+++ b/sched/interfere.c
@@ -11,6 +11,10 @@
 /** A task that fills is held up if it has less of what it declared. */
 #define FAIR_PART 0.3
 
+/** Tasks whose load is compared, and how old their figures may be. */
+#define MIN_SIBLINGS 3
+#define FIGURE_MAX_AGE_MS 1200
+
 /** Images that fill on one VM; more are counted together with the last. */
 #define MAX_USES 16
 
@@ -35,6 +39,29 @@
 	return (double)run->task->phase->step->need->cpu_milli / 1000;
 }
 
+/*
+ * Tasks of one step share their load, so the least disturbed of them tells what
+ * the load alone makes. Returns 0 if there are not enough.
+ */
+static double least_ratio(const struct sch *s, const struct sch_phase *phase)
+{
+	double least = 0;
+	guint n = 0;
+	guint i;
+
+	for (i = 0; i < phase->n_tasks; i++) {
+		const struct sch_run *run = phase->tasks[i].runs[0];
+
+		if (!run || run->serving.ratio <= 0 ||
+		    s->now_ms - run->figure_ms > FIGURE_MAX_AGE_MS)
+			continue;
+		n++;
+		if (least <= 0 || run->serving.ratio < least)
+			least = run->serving.ratio;
+	}
+	return n >= MIN_SIBLINGS ? least : 0;
+}
+
 void sch_interfere_learn(struct sch *s, struct sch_vm *vm,
 			 const struct Rp__VmReport *report)
 {
@@ -63,6 +90,10 @@
 		if (!run || !run->task->phase->step->target_ms ||
 		    row->percent < 100)
 			continue;
+		run->serving.ratio = (double)row->figure /
+				     run->task->phase->step->target_ms;
+		run->figure_ms = s->now_ms;
+		run->serving.told_base = least_ratio(s, run->task->phase);
 		colo_learn(s->colo, &run->serving, run->task->phase->step->image,
 			   (double)row->figure /
 				   run->task->phase->step->target_ms,
@@ -147,6 +178,18 @@
 	orders->pairs[orders->n_pairs++] = pair;
 }
 
+static void add_base(struct Rp__VmOrders *orders, const struct sch_run *run)
+{
+	struct Rp__ServingBase *base = g_malloc(sizeof(*base));
+
+	rp__serving_base__init(base);
+	wire_set_string(&base->task, run->name);
+	base->ratio = run->serving.told_base;
+	orders->bases = g_renew(struct Rp__ServingBase *, orders->bases,
+				orders->n_bases + 1);
+	orders->bases[orders->n_bases++] = base;
+}
+
 void sch_interfere_tell(struct sch *s, const struct sch_vm *vm,
 			struct Rp__VmOrders *orders)
 {
@@ -157,6 +200,8 @@
 		const struct sch_run *run = vm->runs->pdata[i];
 		const struct Rp__StepSpec *serving = run->task->phase->step;
 
+		if (serving->target_ms)
+			add_base(orders, run);
 		for (k = 0; serving->target_ms && k < vm->runs->len; k++) {
 			const struct sch_run *other = vm->runs->pdata[k];
 			const struct Rp__StepSpec *filling =
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -123,8 +123,9 @@
 	gint64 first_percent_ms;
 	/** Amount taken on the VM. */
 	struct sch_amount taken;
-	/** Of a task that serves. */
+	/** Of a task that serves, and when its latency was last reported. */
 	struct colo_serving serving;
+	gint64 figure_ms;
 	/** Processors that a task that fills uses now, and when it last had a
 	 * fair part of what it declared. */
 	double cpus;
--- a/wire/rp.pb-c.c
+++ b/wire/rp.pb-c.c
@@ -1807,6 +1807,51 @@
   assert(message->base.descriptor == &rp__image_pair__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   rp__serving_base__init
+                     (Rp__ServingBase         *message)
+{
+  static const Rp__ServingBase init_value = RP__SERVING_BASE__INIT;
+  *message = init_value;
+}
+size_t rp__serving_base__get_packed_size
+                     (const Rp__ServingBase *message)
+{
+  assert(message->base.descriptor == &rp__serving_base__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rp__serving_base__pack
+                     (const Rp__ServingBase *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rp__serving_base__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rp__serving_base__pack_to_buffer
+                     (const Rp__ServingBase *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rp__serving_base__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rp__ServingBase *
+       rp__serving_base__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rp__ServingBase *)
+     protobuf_c_message_unpack (&rp__serving_base__descriptor,
+                                allocator, len, data);
+}
+void   rp__serving_base__free_unpacked
+                     (Rp__ServingBase *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp__serving_base__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   rp__vm_orders__init
                      (Rp__VmOrders         *message)
 {
@@ -5641,7 +5686,58 @@
   (ProtobufCMessageInit) rp__image_pair__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp__vm_orders__field_descriptors[8] =
+static const ProtobufCFieldDescriptor rp__serving_base__field_descriptors[2] =
+{
+  {
+    "task",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rp__ServingBase, task),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ratio",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Rp__ServingBase, ratio),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rp__serving_base__field_indices_by_name[] = {
+  1,   /* field[1] = ratio */
+  0,   /* field[0] = task */
+};
+static const ProtobufCIntRange rp__serving_base__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor rp__serving_base__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rp.ServingBase",
+  "ServingBase",
+  "Rp__ServingBase",
+  "rp",
+  sizeof(Rp__ServingBase),
+  2,
+  rp__serving_base__field_descriptors,
+  rp__serving_base__field_indices_by_name,
+  1,  rp__serving_base__number_ranges,
+  (ProtobufCMessageInit) rp__serving_base__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp__vm_orders__field_descriptors[9] =
 {
   {
     "fence",
@@ -5739,8 +5835,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "bases",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rp__VmOrders, n_bases),
+    offsetof(Rp__VmOrders, bases),
+    &rp__serving_base__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rp__vm_orders__field_indices_by_name[] = {
+  8,   /* field[8] = bases */
   4,   /* field[4] = ended_through */
   0,   /* field[0] = fence */
   3,   /* field[3] = lease_until_ms */
@@ -5753,7 +5862,7 @@
 static const ProtobufCIntRange rp__vm_orders__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor rp__vm_orders__descriptor =
 {
@@ -5763,7 +5872,7 @@
   "Rp__VmOrders",
   "rp",
   sizeof(Rp__VmOrders),
-  8,
+  9,
   rp__vm_orders__field_descriptors,
   rp__vm_orders__field_indices_by_name,
   1,  rp__vm_orders__number_ranges,
--- a/wire/rp.pb-c.h
+++ b/wire/rp.pb-c.h
@@ -55,6 +55,7 @@
 typedef struct Rp__RunName Rp__RunName;
 typedef struct Rp__RunStart Rp__RunStart;
 typedef struct Rp__ImagePair Rp__ImagePair;
+typedef struct Rp__ServingBase Rp__ServingBase;
 typedef struct Rp__VmOrders Rp__VmOrders;
 typedef struct Rp__WorkerInfo Rp__WorkerInfo;
 typedef struct Rp__RunRow Rp__RunRow;
@@ -890,6 +891,20 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * Own latency of a serving task relative to its target, without neighbours. 
+ */
+struct  Rp__ServingBase
+{
+  ProtobufCMessage base;
+  char *task;
+  double ratio;
+};
+#define RP__SERVING_BASE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rp__serving_base__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
 /*
  * Leader to agent. Lease and times are on the worker's clock. 
  */
@@ -913,10 +928,12 @@
    */
   size_t n_pairs;
   Rp__ImagePair **pairs;
+  size_t n_bases;
+  Rp__ServingBase **bases;
 };
 #define RP__VM_ORDERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rp__vm_orders__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 struct  Rp__WorkerInfo
@@ -2041,6 +2058,25 @@
 void   rp__image_pair__free_unpacked
                      (Rp__ImagePair *message,
                       ProtobufCAllocator *allocator);
+/* Rp__ServingBase methods */
+void   rp__serving_base__init
+                     (Rp__ServingBase         *message);
+size_t rp__serving_base__get_packed_size
+                     (const Rp__ServingBase   *message);
+size_t rp__serving_base__pack
+                     (const Rp__ServingBase   *message,
+                      uint8_t             *out);
+size_t rp__serving_base__pack_to_buffer
+                     (const Rp__ServingBase   *message,
+                      ProtobufCBuffer     *buffer);
+Rp__ServingBase *
+       rp__serving_base__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rp__serving_base__free_unpacked
+                     (Rp__ServingBase *message,
+                      ProtobufCAllocator *allocator);
 /* Rp__VmOrders methods */
 void   rp__vm_orders__init
                      (Rp__VmOrders         *message);
@@ -2448,6 +2484,9 @@
 typedef void (*Rp__ImagePair_Closure)
                  (const Rp__ImagePair *message,
                   void *closure_data);
+typedef void (*Rp__ServingBase_Closure)
+                 (const Rp__ServingBase *message,
+                  void *closure_data);
 typedef void (*Rp__VmOrders_Closure)
                  (const Rp__VmOrders *message,
                   void *closure_data);
@@ -2548,6 +2587,7 @@
 extern const ProtobufCMessageDescriptor rp__run_name__descriptor;
 extern const ProtobufCMessageDescriptor rp__run_start__descriptor;
 extern const ProtobufCMessageDescriptor rp__image_pair__descriptor;
+extern const ProtobufCMessageDescriptor rp__serving_base__descriptor;
 extern const ProtobufCMessageDescriptor rp__vm_orders__descriptor;
 extern const ProtobufCMessageDescriptor rp__worker_info__descriptor;
 extern const ProtobufCMessageDescriptor rp__run_row__descriptor;
