--- a/sched/place.c
+++ b/sched/place.c
@@ -23,7 +23,7 @@
 #define SLOWNESS_MS 6000
 
 /** Tasks that fill wait for a worker that lets them have this share. */
-#define MIN_FILL_SHARE 0.4
+#define MIN_FILL_SHARE 0.65
 
 enum urgency {
 	URGENCY_IN_TIME,
