--- a/cell/store.c
+++ b/cell/store.c
@@ -14,7 +14,7 @@
  * therefore proved by reading the key.
  */
 
-#define LEASE_TTL_MS 1500
+#define LEASE_TTL_MS 1800
 
 /** Renewals, and proofs of leadership. */
 #define RENEW_MS 400
@@ -75,7 +75,6 @@
 	gboolean may_stand;
 	/** Which of load_prefixes is read. */
 	size_t load_step;
-	gboolean renewing;
 	gint64 renew_ms;
 	gboolean proving;
 	gint64 prove_ms;
@@ -130,7 +129,6 @@
 	store->term++;
 	store->state = STORE_FOLLOWING;
 	store->busy = FALSE;
-	store->renewing = FALSE;
 	store->proving = FALSE;
 	store->next_ms = 0;
 	store->lease = 0;
@@ -306,11 +304,10 @@
 
 	if (ctx->term != store->term)
 		return;
-	store->renewing = FALSE;
 	if (g_error_matches(error, KV_ERROR, KV_ERROR_NO_LEASE))
 		depose(store, "its lease has ended");
 	else if (error)
-		store->renew_ms = store->now_ms + RETRY_MS;
+		g_info("lease not renewed: %s", error->message);
 }
 
 static void on_proof(void *arg, const GPtrArray *pairs,
@@ -337,8 +334,8 @@
 
 static void keep(struct cell_store *store)
 {
-	if (!store->renewing && store->now_ms >= store->renew_ms) {
-		store->renewing = TRUE;
+	/* Sent whether or not the last one was answered: answers get lost. */
+	if (store->now_ms >= store->renew_ms) {
 		store->renew_ms = store->now_ms + RENEW_MS;
 		store->kv->ops->lease_keepalive(store->kv, store->lease,
 						on_renewed,
--- a/sched/call.c
+++ b/sched/call.c
@@ -113,7 +113,7 @@
 	g_hash_table_insert(s->jobs, job->id, job);
 	g_ptr_array_add(s->active, job);
 	wait_commit(s, job, call_ref, call);
-	sch_job_dirty(s, job);
+	sch_job_urgent(s, job);
 	sch_job_advance(s, job);
 	log_submission(s, job);
 }
@@ -167,6 +167,8 @@
 		return;
 	}
 	sch_job_end(s, job, RP__JOB_STATE__JOB_STATE_CANCELLED);
+	if (job->change)
+		sch_job_urgent(s, job);
 	if (job->change || job->committing)
 		wait_commit(s, job, call_ref, call);
 	else
--- a/sched/commit.c
+++ b/sched/commit.c
@@ -8,6 +8,9 @@
 /** Changes are collected for so long. */
 #define COMMIT_INTERVAL_MS 20
 
+/** Changes for which nobody waits are collected for longer. */
+#define LAZY_INTERVAL_MS 150
+
 /** A transaction under way for longer shows that the service is not there. */
 #define STALLED_MS 700
 
@@ -22,6 +25,15 @@
 	g_queue_push_tail(&s->dirty, job);
 }
 
+void sch_job_urgent(struct sch *s, struct sch_job *job)
+{
+	sch_job_dirty(s, job);
+	if (job->urgent)
+		return;
+	job->urgent = TRUE;
+	g_queue_push_tail(&s->urgent, job);
+}
+
 static void set_committing(struct sch_job *job)
 {
 	guint i;
@@ -73,19 +85,34 @@
 	set_committing(job);
 }
 
+/* The next job to write: ends alone can wait, starts and callers cannot. */
+static struct sch_job *take_dirty(struct sch *s)
+{
+	struct sch_job *job = g_queue_pop_head(&s->urgent);
+
+	if (job)
+		g_queue_remove(&s->dirty, job);
+	else
+		job = g_queue_pop_head(&s->dirty);
+	job->urgent = FALSE;
+	return job;
+}
+
 void sch_commit_start(struct sch *s)
 {
+	gint64 interval_ms = s->urgent.head ? COMMIT_INTERVAL_MS
+					    : LAZY_INTERVAL_MS;
 	struct sch_effect *effect;
 	struct kv_txn *txn;
 
 	if (s->commit || !s->dirty.head ||
-	    s->now_ms < s->committed_ms + COMMIT_INTERVAL_MS)
+	    s->now_ms < s->committed_ms + interval_ms)
 		return;
 	txn = kv_txn_new();
 	s->commit = g_ptr_array_new();
 	while (s->dirty.head &&
 	       txn->ops->len + OPS_PER_JOB <= s->options.max_ops) {
-		struct sch_job *job = g_queue_pop_head(&s->dirty);
+		struct sch_job *job = take_dirty(s);
 
 		add_job(job, txn);
 		g_ptr_array_add(s->commit, job);
@@ -158,6 +185,7 @@
 			  503, RP__JOB_STATE__JOB_STATE_NONE, 0, 1);
 	g_array_set_size(job->waiters, 0);
 	g_queue_remove(&s->dirty, job);
+	g_queue_remove(&s->urgent, job);
 	g_ptr_array_remove(s->active, job);
 	g_hash_table_remove(s->jobs, job->id);
 }
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -206,6 +206,7 @@
 	gboolean forgotten;
 	/** Number of the change that waits to be written; 0 for none. */
 	guint64 change;
+	gboolean urgent;
 	/** Number of the change, and the state, in the transaction under way. */
 	guint64 committing_change;
 	Rp__JobState committing_state;
@@ -239,6 +240,8 @@
 	struct colo_table *colo;
 	/** Jobs with changes to write, oldest change first. */
 	GQueue dirty;
+	/** Of these, jobs whose callers or tasks wait for the write. */
+	GQueue urgent;
 	guint64 next_change;
 	/** Jobs in the transaction under way, or NULL. */
 	GPtrArray *commit;
@@ -354,6 +357,8 @@
 
 /* commit.c */
 void sch_job_dirty(struct sch *s, struct sch_job *job);
+/** As sch_job_dirty(), and something waits for the write. */
+void sch_job_urgent(struct sch *s, struct sch_job *job);
 void sch_commit_start(struct sch *s);
 void sch_commit_done(struct sch *s);
 void sch_commit_deposed(struct sch *s);
--- a/sched/job.c
+++ b/sched/job.c
@@ -316,7 +316,7 @@
 			 " ms", job->queue, names[state],
 			 s->now_ms - job->accepted_ms);
 	sch_job_stop_runs(s, job);
-	sch_job_dirty(s, job);
+	sch_job_urgent(s, job);
 	g_ptr_array_add(s->closing, job);
 }
 
--- a/sched/place.c
+++ b/sched/place.c
@@ -28,6 +28,8 @@
 enum urgency {
 	URGENCY_IN_TIME,
 	URGENCY_LATE,
+	/** Tasks that last keep their room for long, so short ones go first. */
+	URGENCY_LASTS,
 	URGENCY_HOPELESS,
 };
 
@@ -58,8 +60,8 @@
 	struct candidate c = { .phase = phase, .queue = queue };
 
 	if (phase->step->lasts) {
-		c.urgency = URGENCY_IN_TIME;
-		c.order = G_MININT64;
+		c.urgency = URGENCY_LASTS;
+		c.order = phase->ready_ms;
 	} else if (slack_ms >= 0) {
 		c.urgency = URGENCY_IN_TIME;
 		c.order = slack_ms;
@@ -236,7 +238,7 @@
 		 guint32 attempt)
 {
 	sch_run_new(s, task, vm, attempt);
-	sch_job_dirty(s, task->job);
+	sch_job_urgent(s, task->job);
 }
 
 static gboolean is_idle(const struct sch_task *task)
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -73,6 +73,7 @@
 		g_ptr_array_unref(s->commit);
 	g_hash_table_unref(s->vms);
 	g_queue_clear(&s->dirty);
+	g_queue_clear(&s->urgent);
 	g_queue_clear(&s->ended);
 	g_ptr_array_unref(s->active);
 	g_ptr_array_unref(s->closing);
