--- a/cell/conn.c
+++ b/cell/conn.c
@@ -146,8 +146,8 @@
 	if (evutil_parse_sockaddr_port(address, (struct sockaddr *)&addr,
 				       &len) < 0)
 		return NULL;
-	bev = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE |
-						       BEV_OPT_DEFER_CALLBACKS);
+	bev = bufferevent_socket_new(
+		base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
 	if (!bev)
 		return NULL;
 	conn = conn_new(bev, handler, ctx);
--- a/cell/entry.c
+++ b/cell/entry.c
@@ -97,8 +97,7 @@
 
 	if (frame->body_case != RP__FRAME__BODY_STEP_REPLY)
 		return;
-	call = g_hash_table_lookup(entry->pending,
-				   &frame->step_reply->call_id);
+	call = g_hash_table_lookup(entry->pending, &frame->step_reply->call_id);
 	if (!call)
 		return;
 	copy = *call;
--- a/cell/lead.c
+++ b/cell/lead.c
@@ -111,8 +111,7 @@
 			frame->step_reply->status = reply->status;
 			frame->step_reply->state = reply->state;
 			frame->step_reply->waiting = reply->waiting;
-			frame->step_reply->retry_after_s =
-				reply->retry_after_s;
+			frame->step_reply->retry_after_s = reply->retry_after_s;
 			cell_conn_send(node->conn, frame);
 			wire_frame_free(frame);
 		}
@@ -152,8 +151,8 @@
 	lead->reducing = TRUE;
 	/* An effect may cause an event, whose effects come at the end. */
 	for (i = 0; i < lead->effects->len; i++) {
-		struct sch_effect effect =
-			g_array_index(lead->effects, struct sch_effect, i);
+		struct sch_effect effect = g_array_index(lead->effects,
+							 struct sch_effect, i);
 
 		carry_out(lead, &effect);
 		sch_effect_clear(&effect);
@@ -325,7 +324,8 @@
 					   data, len, unix_ms());
 	if (result < 0)
 		g_critical("record %s of %zu bytes is not valid; it is left "
-			   "out", key, len);
+			   "out",
+			   key, len);
 }
 
 void cell_lead_tables(struct cell_lead *lead, GPtrArray *queues)
--- a/cell/store.c
+++ b/cell/store.c
@@ -125,7 +125,8 @@
 		return;
 	if (won)
 		g_message("no longer leader with fence %" G_GINT64_FORMAT
-			  ": %s", store->fence, why);
+			  ": %s",
+			  store->fence, why);
 	store->term++;
 	store->state = STORE_FOLLOWING;
 	store->busy = FALSE;
--- a/colo/colo.c
+++ b/colo/colo.c
@@ -142,8 +142,9 @@
 		if (uses[i].cpus <= 0)
 			continue;
 		pair = find_or_add(table, image, uses[i].image);
-		step = MAX(LEARN_STEP_MIN,
-			   LEARN_STEP / (1 + pair->samples++ / LEARN_SAMPLES));
+		step = LEARN_STEP / (1 + pair->samples / LEARN_SAMPLES);
+		step = MAX(step, LEARN_STEP_MIN);
+		pair->samples++;
 		pair->slope = CLAMP(pair->slope + step * error * uses[i].cpus /
 							  squares,
 				    0, SLOPE_MAX);
--- a/obs/obs.c
+++ b/obs/obs.c
@@ -99,11 +99,12 @@
 	log_lines++;
 	if (log_left_out) {
 		note = g_string_new(NULL);
-		g_string_append_printf(note,
-				       "{\"level\":\"warning\",\"program\":\"%s\","
-				       "\"message\":\"%" G_GUINT64_FORMAT
-				       " lines left out\"}\n",
-				       log_program, log_left_out);
+		g_string_append_printf(
+			note,
+			"{\"level\":\"warning\",\"program\":\"%s\","
+			"\"message\":\"%" G_GUINT64_FORMAT
+			" lines left out\"}\n",
+			log_program, log_left_out);
 		if (!write_stdout(note)) {
 			log_left_out++;
 			return;
--- a/runs/hold.c
+++ b/runs/hold.c
@@ -25,6 +25,12 @@
 		return;
 	call = runs_call_new(r, RUNS_CALL_HOLD, HOLD_WAIT_MS + HOLD_TIMEOUT_MS);
 	call->ended_through = r->ended_through;
+	/* Another life may answer: lease and ends of this one are not for it.
+	 */
+	if (!r->verified) {
+		call->lease_until_ms = 0;
+		call->ended_through = 0;
+	}
 	/* The first lists under a fence are wanted at once. */
 	call->wait_ms = r->lists_valid ? HOLD_WAIT_MS : 0;
 	r->hold_call = call->id;
@@ -87,20 +93,24 @@
 	r->hold_call = 0;
 	if (answer->outcome != RUNS_OK) {
 		r->holds_lost++;
+		r->verified = FALSE;
 		r->next_hold_ms = r->now_ms + HOLD_RETRY_MS;
-		g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_DEBUG, "MESSAGE",
-				 "hold %u not answered as wanted: outcome %d %s",
-				 r->holds_lost, answer->outcome,
-				 answer->reason ? answer->reason : "");
+		g_log_structured(
+			G_LOG_DOMAIN, G_LOG_LEVEL_DEBUG, "MESSAGE",
+			"hold %u not answered as wanted: outcome %d %s",
+			r->holds_lost, answer->outcome,
+			answer->reason ? answer->reason : "");
 		return TRUE;
 	}
 	r->holds_lost = 0;
 	/* The next heartbeat describes the worker that lives here now. */
 	if (answer->born_ms && r->worker->born_ms &&
 	    answer->born_ms != r->worker->born_ms) {
+		r->verified = FALSE;
 		r->next_hold_ms = r->now_ms + HOLD_RETRY_MS;
 		return TRUE;
 	}
+	r->verified = TRUE;
 	r->answered_ms = r->now_ms;
 	r->clock_ms = MAX(r->clock_ms, answer->clock_ms);
 	take_lists(r, answer);
--- a/runs/internal.h
+++ b/runs/internal.h
@@ -69,6 +69,8 @@
 	gint64 hold_ms;
 	gint64 next_hold_ms;
 	guint holds_lost;
+	/** The last hold was answered by the life that is known. */
+	gboolean verified;
 	/** Highest end that this leader was told. */
 	guint64 reported_end;
 	gint64 listed_ms;
@@ -85,6 +87,11 @@
 	gboolean lists_valid;
 	GPtrArray *orders;
 	guint orders_in_flight;
+	/**
+	 * Runs that were reported as never started, "task#attempt". The leader
+	 * may have ordered one again before it knew, and starts another.
+	 */
+	GHashTable *refused;
 	/** Task's name to struct runs_info. */
 	GHashTable *infos;
 	struct colo_table *colo;
--- a/runs/orders.c
+++ b/runs/orders.c
@@ -60,9 +60,8 @@
 	return FALSE;
 }
 
-static struct runs_order *add_order(struct runs *r,
-				    const struct Rp__RunName *run,
-				    enum runs_phase phase)
+static struct runs_order *
+add_order(struct runs *r, const struct Rp__RunName *run, enum runs_phase phase)
 {
 	struct runs_order *order = g_new0(struct runs_order, 1);
 
@@ -99,10 +98,17 @@
 
 static void take_start(struct runs *r, const struct Rp__RunStart *start)
 {
+	g_autofree char *key = NULL;
 	struct runs_order *order;
 
 	if (!start->run || find_order(r, start->run->task, start->run->attempt))
 		return;
+	key = g_strdup_printf("%s#%u", start->run->task, start->run->attempt);
+	if (g_hash_table_contains(r->refused, key)) {
+		runs_answer_add(r, start->run->task, start->run->attempt, FALSE,
+				"stopped");
+		return;
+	}
 	note_info(r, start);
 	if (is_running(r, start->run->task, start->run->attempt)) {
 		runs_answer_add(r, start->run->task, start->run->attempt, TRUE,
@@ -110,7 +116,8 @@
 		return;
 	}
 	if (r->worker->draining) {
-		/* An earlier agent may have sent it: make sure it never runs. */
+		/* An earlier agent may have sent it: make sure it never runs.
+		 */
 		order = add_order(r, start->run, RUNS_PHASE_STOP);
 		order->reason = "draining";
 		return;
@@ -177,8 +184,12 @@
 		if (order->call_id || order->phase == RUNS_PHASE_CHECK ||
 		    r->now_ms < order->next_ms)
 			continue;
-		/* Without a lease the worker would end the run at once. */
-		if (order->phase == RUNS_PHASE_START && !r->lease_until_ms)
+		/*
+		 * Without a lease the worker would end the run at once; one
+		 * that does not answer may be replaced by another.
+		 */
+		if (order->phase == RUNS_PHASE_START &&
+		    (!r->lease_until_ms || !r->verified))
 			continue;
 		if (order->phase == RUNS_PHASE_START && r->worker->draining) {
 			order->phase = RUNS_PHASE_STOP;
@@ -205,11 +216,10 @@
 static void end_start(struct runs *r, struct runs_order *order,
 		      const struct runs_answer *answer)
 {
-	const char *reason = answer->outcome == RUNS_BUSY
-				     ? "busy"
-				     : answer->outcome == RUNS_OTHER_WORKER
-					       ? "other worker"
-					       : intern_reason(answer->reason);
+	const char *reason = answer->outcome == RUNS_BUSY ? "busy"
+			     : answer->outcome == RUNS_OTHER_WORKER
+				     ? "other worker"
+				     : intern_reason(answer->reason);
 
 	if (answer->outcome == RUNS_LOST) {
 		order->uncertain = TRUE;
--- a/runs/pace.c
+++ b/runs/pace.c
@@ -86,7 +86,8 @@
 	}
 	if (stretch <= room && !over)
 		return;
-	/* Without an image to blame, all are slowed and the blame is learned. */
+	/* Without an image to blame, all are slowed and the blame is learned.
+	 */
 	factor = blamed > 0 ? MAX(0, room - (stretch - blamed)) / blamed : 0.5;
 	for (i = 0; i < r->running->len; i++) {
 		struct runs_info *info = row_info(r, i);
@@ -170,8 +171,7 @@
 		    percent != 0 && percent != 100)
 			percent = info->percent;
 		if (info->percent == percent &&
-		    (percent == 100 ||
-		     r->now_ms < info->paced_ms + REPEAT_MS))
+		    (percent == 100 || r->now_ms < info->paced_ms + REPEAT_MS))
 			continue;
 		send_pace(r, row, info, percent);
 	}
--- a/runs/runs.c
+++ b/runs/runs.c
@@ -18,6 +18,8 @@
 	r->ended = g_ptr_array_new();
 	r->answers = g_ptr_array_new();
 	r->orders = g_ptr_array_new_with_free_func(runs_order_free);
+	r->refused = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					   NULL);
 	r->infos = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					 runs_info_free);
 	return r;
@@ -48,6 +50,7 @@
 	free_messages(r->answers);
 	g_ptr_array_unref(r->orders);
 	g_hash_table_unref(r->infos);
+	g_hash_table_unref(r->refused);
 	colo_table_free(r->colo);
 	if (r->worker)
 		rp__worker_info__free_unpacked(r->worker, NULL);
@@ -122,18 +125,40 @@
 	answer->run = name_new(task, attempt);
 	answer->started = started;
 	wire_set_string(&answer->reason, reason);
+	if (!started)
+		g_hash_table_add(r->refused,
+				 g_strdup_printf("%s#%u", task, attempt));
 	g_ptr_array_add(r->answers, answer);
 	r->report_due = TRUE;
 }
 
-/* Nothing of an earlier life holds for the next one. */
+/*
+ * Starts that were sent may have reached the next life, which then runs them:
+ * they are undone there. Nothing else of an earlier life holds.
+ */
 static void forget_life(struct runs *r)
 {
+	guint i = 0;
+
+	while (i < r->orders->len) {
+		struct runs_order *order = r->orders->pdata[i];
+
+		if (order->phase == RUNS_PHASE_START && !order->call_id &&
+		    !order->uncertain) {
+			g_ptr_array_remove_index(r->orders, i);
+			continue;
+		}
+		order->phase = RUNS_PHASE_STOP;
+		order->reason = "stopped";
+		order->call_id = 0;
+		order->next_ms = 0;
+		i++;
+	}
 	clear_messages(r->running);
 	clear_messages(r->ended);
 	clear_messages(r->answers);
-	g_ptr_array_set_size(r->orders, 0);
 	g_hash_table_remove_all(r->infos);
+	g_hash_table_remove_all(r->refused);
 	r->lease_until_ms = 0;
 	r->ended_through = 0;
 	r->reported_end = 0;
@@ -141,6 +166,7 @@
 	r->lists_valid = FALSE;
 	r->hold_call = 0;
 	r->holds_lost = 0;
+	r->verified = FALSE;
 	r->next_hold_ms = 0;
 	r->orders_in_flight = 0;
 	r->answered_ms = r->now_ms;
@@ -221,8 +247,8 @@
 			       orders->pairs[i]->filling,
 			       orders->pairs[i]->slope);
 	for (i = 0; i < orders->n_bases; i++) {
-		struct runs_info *info = g_hash_table_lookup(
-			r->infos, orders->bases[i]->task);
+		struct runs_info *info =
+			g_hash_table_lookup(r->infos, orders->bases[i]->task);
 
 		if (info)
 			info->serving.told_base = orders->bases[i]->ratio;
@@ -253,10 +279,9 @@
 		body->worker = runs_copy_message(&r->worker->base);
 		body->clock_ms = r->clock_ms;
 		body->silent_ms = (guint32)(r->now_ms - r->answered_ms);
-		body->n_ended =
-			take_messages(r->ended, (void ***)&body->ended);
-		body->n_answers =
-			take_messages(r->answers, (void ***)&body->answers);
+		body->n_ended = take_messages(r->ended, (void ***)&body->ended);
+		body->n_answers = take_messages(r->answers,
+						(void ***)&body->answers);
 	}
 	if (r->lists_due && r->lists_valid) {
 		size_t i;
@@ -314,7 +339,8 @@
 		runs_pace(r);
 	}
 	if (r->has_leader &&
-	    (r->report_due || r->now_ms >= r->reported_ms + REPORT_INTERVAL_MS ||
+	    (r->report_due ||
+	     r->now_ms >= r->reported_ms + REPORT_INTERVAL_MS ||
 	     (r->lists_due && r->lists_valid &&
 	      r->now_ms >= r->listed_ms + LISTS_INTERVAL_MS)))
 		report(r);
--- a/sched/call.c
+++ b/sched/call.c
@@ -64,8 +64,10 @@
 			step->speculative ? " copies" : "");
 	}
 	g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "JOB_ID", job->id,
-			 "MESSAGE", "submitted to queue %s, %u jobs active, "
-			 "steps:%s", job->queue, s->active->len, steps->str);
+			 "MESSAGE",
+			 "submitted to queue %s, %u jobs active, "
+			 "steps:%s",
+			 job->queue, s->active->len, steps->str);
 }
 
 /* Tasks are named by the id and numbers, with dots between. */
--- a/sched/commit.c
+++ b/sched/commit.c
@@ -64,8 +64,8 @@
 static void add_job(struct sch_job *job, struct kv_txn *txn)
 {
 	g_autofree char *key = g_strconcat(SCH_JOB_PREFIX, job->id, NULL);
-	g_autofree char *progress_key =
-		g_strconcat(SCH_PROGRESS_PREFIX, job->id, NULL);
+	g_autofree char *progress_key = g_strconcat(SCH_PROGRESS_PREFIX,
+						    job->id, NULL);
 
 	if (job->forgotten)
 		kv_txn_delete(txn, progress_key);
--- a/sched/interfere.c
+++ b/sched/interfere.c
@@ -77,8 +77,7 @@
 		if (!run || !run->task->phase->step->fills)
 			continue;
 		run->cpus = (double)row->figure / 1000;
-		if (run->cpus > FAIR_PART * declared_cpus(run) ||
-		    !run->fair_ms)
+		if (run->cpus > FAIR_PART * declared_cpus(run) || !run->fair_ms)
 			run->fair_ms = s->now_ms;
 		add_use(uses, &n, run->task->phase->step->image, run->cpus);
 	}
@@ -94,10 +93,10 @@
 				     run->task->phase->step->target_ms;
 		run->figure_ms = s->now_ms;
 		run->serving.told_base = least_ratio(s, run->task->phase);
-		colo_learn(s->colo, &run->serving, run->task->phase->step->image,
-			   (double)row->figure /
-				   run->task->phase->step->target_ms,
-			   uses, n);
+		colo_learn(
+			s->colo, &run->serving, run->task->phase->step->image,
+			(double)row->figure / run->task->phase->step->target_ms,
+			uses, n);
 	}
 }
 
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -16,6 +16,14 @@
 #define SCH_MAX_OCCURRENCES 100000
 #define SCH_MAX_PAYLOAD_BYTES 4000
 
+/** Longest lease that a worker takes, whatever it is told, and the time that
+ * an order to a life that has ended may be under way. */
+#define SCH_LONGEST_LEASE_MS 10000
+#define SCH_ORDER_MS 1500
+
+/** A worker that was born longer ago has long been known to its agent. */
+#define SCH_YOUNG_MS 15000
+
 /** A worker whose agent has not reported for so long gets no new tasks. */
 #define SCH_FRESH_MS 2500
 
@@ -33,6 +41,9 @@
 	/** One life of the worker: its id and the time of its start. */
 	char *worker_id;
 	guint64 born_ms;
+	/** When this life was first heard of, or the election if it was young
+	 * then; 0 if it was not. */
+	gint64 life_ms;
 	/** The agent has described this life to this leader. */
 	gboolean known;
 	/** Lists of this life were read under this fence and connection. */
@@ -77,7 +88,8 @@
 	guint faults;
 	struct sch_job *fault_job;
 	gint64 avoid_until_ms;
-	/** Time that tasks take relative to others of their step; 1 is usual. */
+	/** Time that tasks take relative to others of their step; 1 is usual.
+	 */
 	double slowness;
 	gint64 slowness_ms;
 };
@@ -111,6 +123,11 @@
 	/** Its record is in the transaction under way. */
 	gboolean committing;
 	gboolean stopping;
+	/**
+	 * It was ordered to an earlier life of the worker. The agent may have
+	 * sent it to this one before it knew.
+	 */
+	gboolean orphan;
 	/** The worker refuses the start as outdated; its end may be listed. */
 	gboolean outdated;
 	/** Lists that came since it is outdated. */
@@ -207,7 +224,8 @@
 	/** Number of the change that waits to be written; 0 for none. */
 	guint64 change;
 	gboolean urgent;
-	/** Number of the change, and the state, in the transaction under way. */
+	/** Number of the change, and the state, in the transaction under way.
+	 */
 	guint64 committing_change;
 	Rp__JobState committing_state;
 	/** Of struct sch_waiter. */
@@ -319,8 +337,9 @@
 void sch_vm_down(struct sch *s, const char *name);
 void sch_vm_report(struct sch *s, const char *name,
 		   const struct Rp__VmReport *report);
-/** Takes over the life that a record names. */
-void sch_vm_set_life(struct sch_vm *vm, const char *worker_id, guint64 born_ms);
+/** Begins another life of the worker; its runs are orphans then. */
+void sch_vm_set_life(struct sch *s, struct sch_vm *vm, const char *worker_id,
+		     guint64 born_ms);
 /** Loses the runs of workers whose leases have certainly ended. */
 void sch_vm_expire(struct sch *s);
 void sch_vm_send_orders(struct sch *s);
--- a/sched/job.c
+++ b/sched/job.c
@@ -207,14 +207,14 @@
 	for (i = n; i-- > 0;) {
 		struct sch_phase *phase = &occurrence->phases[i];
 
-		phase->chain_ms += sch_demand_expect_ms(
-			demand, phase->step->estimate_ms);
+		phase->chain_ms +=
+			sch_demand_expect_ms(demand, phase->step->estimate_ms);
 		for (k = 0; k < phase->step->n_after; k++) {
 			struct sch_phase *before =
 				&occurrence->phases[phase->step->after[k]];
 
-			before->chain_ms =
-				MAX(before->chain_ms, phase->chain_ms);
+			before->chain_ms = MAX(before->chain_ms,
+					       phase->chain_ms);
 		}
 	}
 }
@@ -233,6 +233,7 @@
 			init_phases(job, occurrence, number);
 		set_chains(s, job, occurrence);
 	}
+	g_assert(occurrence->phases);
 	for (i = 0; i < job->spec->n_steps; i++) {
 		struct sch_phase *phase = &occurrence->phases[i];
 
@@ -311,10 +312,10 @@
 	job->ended_unix_ms = s->unix_ms;
 	g_ptr_array_remove(s->active, job);
 	g_queue_push_tail(&s->ended, job);
-	g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "JOB_ID", job->id,
-			 "MESSAGE", "job of queue %s is %s after %" G_GINT64_FORMAT
-			 " ms", job->queue, names[state],
-			 s->now_ms - job->accepted_ms);
+	g_log_structured(
+		G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "JOB_ID", job->id, "MESSAGE",
+		"job of queue %s is %s after %" G_GINT64_FORMAT " ms",
+		job->queue, names[state], s->now_ms - job->accepted_ms);
 	sch_job_stop_runs(s, job);
 	sch_job_urgent(s, job);
 	g_ptr_array_add(s->closing, job);
--- /dev/null
+++ b/sched/model_test.c
@@ -0,0 +1,1189 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../runs/runs.h"
+#include "internal.h"
+
+/*
+ * Random runs of leaders, agents and workers on a virtual clock: the reducers
+ * are the real ones; workers, links and the store are models that lose, delay
+ * and repeat. The checks are made where a worker begins a run, from what the
+ * worker and the callers have seen.
+ */
+
+#define VMS 5
+#define STEP_MS 10
+#define RUN_MS 40000
+#define HEAL_MS 70000
+#define LEASE_MS 7000
+#define AUTHORITY_MS 6000
+#define GROUP_OPS 29
+#define CAPACITY_MILLI 8000
+#define MAX_ATTEMPTS 3
+#define STOP_MS 100
+#define DEFAULT_SEEDS 60
+
+struct model_run {
+	char *task;
+	guint32 attempt;
+	gint64 begins_ms;
+	gint64 ends_ms;
+	/** When a stop takes effect; 0 for none. */
+	gint64 stops_ms;
+	Rp__RunEndKind outcome;
+	gint64 cpu_milli;
+};
+
+struct model_end {
+	guint64 number;
+	char *task;
+	guint32 attempt;
+	Rp__RunEndKind kind;
+	/** The lease lapsed before it was confirmed, so it counts for nothing.
+	 */
+	gboolean lapsed;
+};
+
+struct model_worker {
+	gboolean up;
+	gint64 back_ms;
+	guint64 born_ms;
+	gint64 lease_ms;
+	guint64 fence;
+	guint64 next_end;
+	guint64 acked;
+	GPtrArray *runs;
+	GPtrArray *ends;
+	/** task to the highest attempt that ended or was stopped here. */
+	GHashTable *closed;
+};
+
+/** A call to a worker on its way, or its answer. */
+struct model_call {
+	struct runs_call *call;
+	int vm;
+	gint64 at_ms;
+	/** The life of the agent that sent it, and of the worker it went to:
+	 * calls under way end with their process. */
+	guint agent_life;
+	guint64 born_ms;
+	gboolean answered;
+	/** Carried out without an answer. */
+	gboolean mute;
+	gint64 timeout_ms;
+	gboolean timed_out;
+};
+
+struct model_frame {
+	struct Rp__Frame *frame;
+	gint64 at_ms;
+	int vm;
+	gboolean to_agent;
+	guint link_life;
+	guint leader;
+};
+
+struct model_vm {
+	struct runs *runs;
+	guint agent_life;
+	gint64 agent_back_ms;
+	struct model_worker worker;
+	/** Leader that the agent obeys; its index. */
+	guint leader;
+};
+
+struct model_leader {
+	struct sch *sch;
+	guint64 fence;
+	gboolean elected;
+	gint64 ends_ms;
+	struct kv_txn *txn;
+	gint64 txn_ms;
+	gboolean connected[VMS];
+	guint link_life[VMS];
+	gint64 link_next_ms[VMS];
+	gint64 proof_ms;
+};
+
+struct job_check {
+	struct Rp__StepJob *spec;
+	gboolean accepted;
+	gboolean refused;
+	gint64 cancelled_ms;
+	Rp__JobState shown;
+	guint64 ref;
+};
+
+struct model {
+	GRand *rand;
+	guint32 seed;
+	gint64 now_ms;
+	gboolean calm;
+	struct model_vm vms[VMS];
+	struct model_leader leaders[3];
+	guint n_leaders;
+	guint current;
+	gint64 next_leader_ms;
+	guint64 revision;
+	GHashTable *store;
+	GPtrArray *calls;
+	GPtrArray *frames;
+	GHashTable *jobs;
+	/** Tasks that ended as done and whose end was confirmed. */
+	GHashTable *done;
+	/** Task to the number of its failed ends that were confirmed. */
+	GHashTable *failed;
+	/** Tasks that ended as done anywhere. */
+	GHashTable *ended_done;
+	guint64 next_ref;
+	guint starts;
+	guint64 events;
+};
+
+static gboolean chance(struct model *m, double p)
+{
+	return !m->calm && g_rand_double(m->rand) < p;
+}
+
+static void free_run(gpointer data)
+{
+	struct model_run *run = data;
+
+	g_free(run->task);
+	g_free(run);
+}
+
+static void free_end(gpointer data)
+{
+	struct model_end *end = data;
+
+	g_free(end->task);
+	g_free(end);
+}
+
+static void worker_init(struct model *m, struct model_worker *w)
+{
+	w->up = TRUE;
+	w->born_ms = (guint64)m->now_ms + 1000000;
+	w->lease_ms = 0;
+	w->fence = 0;
+	w->next_end = 1;
+	w->acked = 0;
+	w->runs = g_ptr_array_new_with_free_func(free_run);
+	w->ends = g_ptr_array_new_with_free_func(free_end);
+	w->closed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					  NULL);
+}
+
+static void worker_clear(struct model_worker *w)
+{
+	g_ptr_array_unref(w->runs);
+	g_ptr_array_unref(w->ends);
+	g_hash_table_unref(w->closed);
+}
+
+/* The worker's own clock: it starts with its life and is 2 % slow. */
+static gint64 worker_clock(const struct model *m, const struct model_worker *w)
+{
+	return 1000 + (m->now_ms + 1000000 - (gint64)w->born_ms) * 98 / 100;
+}
+
+static struct job_check *job_of(struct model *m, const char *task, guint *step)
+{
+	g_auto(GStrv) parts = g_strsplit(task, ".", -1);
+
+	ck_assert_uint_eq(g_strv_length(parts), 4);
+	*step = (guint)atoi(parts[2]);
+	return g_hash_table_lookup(m->jobs, parts[0]);
+}
+
+static void check_order(struct model *m, const char *id,
+			const struct Rp__StepJob *spec, guint step)
+{
+	const struct Rp__StepSpec *s = spec->steps[step];
+	size_t i;
+	guint k;
+
+	for (i = 0; i < s->n_after; i++) {
+		const struct Rp__StepSpec *before = spec->steps[s->after[i]];
+		guint ended = 0;
+
+		for (k = 0; k < before->replicas; k++) {
+			g_autofree char *name = g_strdup_printf(
+				"%s.0.%u.%u", id, s->after[i], k);
+
+			if (g_hash_table_contains(m->ended_done, name))
+				ended++;
+		}
+		/* The end of one member of a gang stands for all. */
+		ck_assert_msg(ended == before->replicas ||
+				      (before->gang && ended),
+			      "seed %u: step %u of %s began before step %u",
+			      m->seed, step, id, s->after[i]);
+	}
+}
+
+/* What must hold when a worker begins a run. */
+static void check_start(struct model *m, int vm, const char *task,
+			gint64 cpu_milli)
+{
+	g_auto(GStrv) parts = g_strsplit(task, ".", -1);
+	gint64 used = cpu_milli;
+	guint step;
+	struct job_check *job = job_of(m, task, &step);
+	guint i;
+	int v;
+
+	ck_assert_msg(job != NULL, "%s was never submitted", task);
+	ck_assert_msg(!job->refused, "%s was refused", task);
+	ck_assert_msg(!g_hash_table_contains(m->done, task),
+		      "seed %u: %s began after its end was confirmed", m->seed,
+		      task);
+	ck_assert_msg(GPOINTER_TO_UINT(g_hash_table_lookup(m->failed, task)) <
+			      MAX_ATTEMPTS,
+		      "seed %u: %s began after too many failures", m->seed,
+		      task);
+	check_order(m, parts[0], job->spec, step);
+	for (v = 0; v < VMS; v++) {
+		struct model_worker *w = &m->vms[v].worker;
+
+		for (i = 0; w->up && i < w->runs->len; i++) {
+			struct model_run *run = w->runs->pdata[i];
+
+			if (v == vm)
+				used += run->cpu_milli;
+			ck_assert_msg(strcmp(run->task, task) != 0,
+				      "seed %u: %s runs on %d and %d", m->seed,
+				      task, v, vm);
+		}
+	}
+	ck_assert_msg(used <= CAPACITY_MILLI, "seed %u: vm %d has %d milli",
+		      m->seed, vm, (int)used);
+	m->starts++;
+}
+
+static void end_run(struct model *m, struct model_worker *w, guint index,
+		    Rp__RunEndKind kind)
+{
+	struct model_run *run = w->runs->pdata[index];
+	struct model_end *end = g_new0(struct model_end, 1);
+	guint32 closed =
+		GPOINTER_TO_UINT(g_hash_table_lookup(w->closed, run->task));
+
+	end->number = w->next_end++;
+	end->task = g_strdup(run->task);
+	end->attempt = run->attempt;
+	end->kind = kind;
+	if (kind == RP__RUN_END_KIND__RUN_END_DONE)
+		g_hash_table_add(m->ended_done, g_strdup(run->task));
+	g_hash_table_insert(w->closed, g_strdup(run->task),
+			    GUINT_TO_POINTER(MAX(closed, run->attempt)));
+	g_ptr_array_add(w->ends, end);
+	g_ptr_array_remove_index(w->runs, index);
+}
+
+static void worker_tick(struct model *m, struct model_worker *w)
+{
+	guint i = 0;
+
+	if (!w->up) {
+		if (m->now_ms >= w->back_ms) {
+			worker_clear(w);
+			worker_init(m, w);
+		}
+		return;
+	}
+	if (worker_clock(m, w) > w->lease_ms)
+		for (i = 0; i < w->ends->len; i++)
+			((struct model_end *)w->ends->pdata[i])->lapsed = TRUE;
+	i = 0;
+	while (i < w->runs->len) {
+		struct model_run *run = w->runs->pdata[i];
+
+		if (worker_clock(m, w) > w->lease_ms)
+			end_run(m, w, i, RP__RUN_END_KIND__RUN_END_LAPSED);
+		else if (run->stops_ms && m->now_ms >= run->stops_ms)
+			end_run(m, w, i, RP__RUN_END_KIND__RUN_END_STOPPED);
+		else if (m->now_ms >= run->ends_ms)
+			end_run(m, w, i, run->outcome);
+		else
+			i++;
+	}
+}
+
+static enum runs_outcome worker_start(struct model *m, int vm,
+				      const struct runs_call *call,
+				      const char **reason)
+{
+	struct model_worker *w = &m->vms[vm].worker;
+	guint32 closed =
+		GPOINTER_TO_UINT(g_hash_table_lookup(w->closed, call->task));
+	guint step;
+	struct job_check *job = job_of(m, call->task, &step);
+	struct model_run *run;
+	guint i;
+
+	for (i = 0; i < w->runs->len; i++) {
+		run = w->runs->pdata[i];
+		if (strcmp(run->task, call->task))
+			continue;
+		if (run->attempt == call->attempt)
+			return RUNS_OK;
+		*reason = "old";
+		return RUNS_REFUSED;
+	}
+	if (closed >= call->attempt) {
+		*reason = "old";
+		return RUNS_REFUSED;
+	}
+	if (call->lease_until_ms <= worker_clock(m, w)) {
+		*reason = "late";
+		return RUNS_REFUSED;
+	}
+	ck_assert_ptr_nonnull(job);
+	check_start(m, vm, call->task, job->spec->steps[step]->need->cpu_milli);
+	run = g_new0(struct model_run, 1);
+	run->task = g_strdup(call->task);
+	run->attempt = call->attempt;
+	run->begins_ms = m->now_ms;
+	run->ends_ms = m->now_ms + g_rand_int_range(m->rand, 200, 2500);
+	run->outcome = g_rand_double(m->rand) < 0.05
+			       ? RP__RUN_END_KIND__RUN_END_FAILED
+			       : RP__RUN_END_KIND__RUN_END_DONE;
+	run->cpu_milli = job->spec->steps[step]->need->cpu_milli;
+	g_ptr_array_add(w->runs, run);
+	return RUNS_OK;
+}
+
+static void worker_stop(struct model *m, struct model_worker *w,
+			const struct runs_call *call)
+{
+	guint32 closed =
+		GPOINTER_TO_UINT(g_hash_table_lookup(w->closed, call->task));
+	guint i;
+
+	for (i = 0; i < w->runs->len; i++) {
+		struct model_run *run = w->runs->pdata[i];
+
+		if (!strcmp(run->task, call->task) &&
+		    run->attempt <= call->attempt && !run->stops_ms)
+			run->stops_ms = m->now_ms + STOP_MS;
+	}
+	g_hash_table_insert(w->closed, g_strdup(call->task),
+			    GUINT_TO_POINTER(MAX(closed, call->attempt)));
+}
+
+static void worker_ack(struct model *m, struct model_worker *w, guint64 through)
+{
+	guint i = 0;
+
+	while (i < w->ends->len) {
+		struct model_end *end = w->ends->pdata[i];
+
+		if (end->number > through) {
+			i++;
+			continue;
+		}
+		if (end->lapsed) {
+			g_ptr_array_remove_index(w->ends, i);
+			continue;
+		}
+		if (end->kind == RP__RUN_END_KIND__RUN_END_DONE)
+			g_hash_table_add(m->done, g_strdup(end->task));
+		if (end->kind == RP__RUN_END_KIND__RUN_END_FAILED) {
+			guint n = GPOINTER_TO_UINT(
+				g_hash_table_lookup(m->failed, end->task));
+
+			g_hash_table_insert(m->failed, g_strdup(end->task),
+					    GUINT_TO_POINTER(n + 1));
+		}
+		g_ptr_array_remove_index(w->ends, i);
+	}
+}
+
+static void fill_lists(struct model *m, struct model_worker *w,
+		       struct runs_answer *answer)
+{
+	guint i;
+
+	answer->clock_ms = worker_clock(m, w);
+	answer->born_ms = w->born_ms;
+	answer->n_running = w->runs->len;
+	answer->running = g_new0(struct Rp__RunRow *, w->runs->len + 1);
+	for (i = 0; i < w->runs->len; i++) {
+		const struct model_run *run = w->runs->pdata[i];
+		struct Rp__RunRow *row = g_malloc(sizeof(*row));
+		struct Rp__RunName *name = g_malloc(sizeof(*name));
+
+		rp__run_row__init(row);
+		rp__run_name__init(name);
+		wire_set_string(&name->task, run->task);
+		name->attempt = run->attempt;
+		row->run = name;
+		row->percent = (guint32)((m->now_ms - run->begins_ms) * 100 /
+					 MAX(run->ends_ms - run->begins_ms, 1));
+		answer->running[i] = row;
+	}
+	answer->n_ended = w->ends->len;
+	answer->ended = g_new0(struct Rp__RunEnd *, w->ends->len + 1);
+	for (i = 0; i < w->ends->len; i++) {
+		const struct model_end *end = w->ends->pdata[i];
+		struct Rp__RunEnd *row = g_malloc(sizeof(*row));
+		struct Rp__RunName *name = g_malloc(sizeof(*name));
+
+		rp__run_end__init(row);
+		rp__run_name__init(name);
+		wire_set_string(&name->task, end->task);
+		name->attempt = end->attempt;
+		row->run = name;
+		row->number = end->number;
+		row->kind = end->kind;
+		answer->ended[i] = row;
+	}
+}
+
+static void free_lists(struct runs_answer *answer)
+{
+	size_t i;
+
+	for (i = 0; i < answer->n_running; i++)
+		rp__run_row__free_unpacked(answer->running[i], NULL);
+	for (i = 0; i < answer->n_ended; i++)
+		rp__run_end__free_unpacked(answer->ended[i], NULL);
+	g_free(answer->running);
+	g_free(answer->ended);
+}
+
+static void agent_reduce(struct model *m, int vm, struct runs_event *ev);
+
+static void answer_call(struct model *m, struct model_call *c,
+			struct runs_answer *answer)
+{
+	struct runs_event ev = { .kind = RUNS_EVENT_ANSWER, .answer = answer };
+
+	answer->call_id = c->call->id;
+	if (!c->mute && !c->timed_out && m->vms[c->vm].runs &&
+	    m->vms[c->vm].agent_life == c->agent_life)
+		agent_reduce(m, c->vm, &ev);
+}
+
+static void carry_out(struct model *m, struct model_call *c)
+{
+	struct model_worker *w = &m->vms[c->vm].worker;
+	struct runs_answer answer = { .outcome = RUNS_OK };
+
+	if (!w->up || w->born_ms != c->born_ms) {
+		c->mute = TRUE;
+		return;
+	}
+	if (c->call->fence < w->fence) {
+		answer.outcome = RUNS_REFUSED;
+		answer.reason = "fence";
+		answer_call(m, c, &answer);
+		return;
+	}
+	w->fence = c->call->fence;
+	if (c->call->lease_until_ms > w->lease_ms &&
+	    (c->call->kind == RUNS_CALL_HOLD ||
+	     c->call->kind == RUNS_CALL_START))
+		w->lease_ms = c->call->lease_until_ms;
+	switch (c->call->kind) {
+	case RUNS_CALL_START:
+		answer.outcome = worker_start(m, c->vm, c->call,
+					      &answer.reason);
+		break;
+	case RUNS_CALL_STOP:
+		worker_stop(m, w, c->call);
+		break;
+	case RUNS_CALL_HOLD:
+		worker_ack(m, w, c->call->ended_through);
+		fill_lists(m, w, &answer);
+		break;
+	default:
+		break;
+	}
+	answer_call(m, c, &answer);
+	free_lists(&answer);
+}
+
+static void free_call(struct model_call *c)
+{
+	runs_call_free(c->call);
+	g_free(c);
+}
+
+static void run_calls(struct model *m)
+{
+	guint i = 0;
+
+	while (i < m->calls->len) {
+		struct model_call *c = m->calls->pdata[i];
+
+		if (!c->timed_out && !c->answered &&
+		    m->now_ms >= c->timeout_ms &&
+		    (c->mute || m->now_ms < c->at_ms)) {
+			struct runs_answer lost = { .outcome = RUNS_LOST };
+			gboolean mute = c->mute;
+
+			c->mute = FALSE;
+			answer_call(m, c, &lost);
+			c->mute = mute;
+			c->timed_out = TRUE;
+		}
+		if (!c->answered && m->now_ms >= c->at_ms) {
+			c->answered = TRUE;
+			carry_out(m, c);
+		}
+		if (c->answered && (!c->mute || c->timed_out)) {
+			g_ptr_array_remove_index(m->calls, i);
+			free_call(c);
+			continue;
+		}
+		if (c->answered && c->mute && m->now_ms >= c->timeout_ms) {
+			struct runs_answer lost = { .outcome = RUNS_LOST };
+
+			c->mute = FALSE;
+			answer_call(m, c, &lost);
+			c->timed_out = TRUE;
+			continue;
+		}
+		i++;
+	}
+}
+
+static void send_frame(struct model *m, guint leader, int vm, gboolean to_agent,
+		       struct Rp__Frame *frame)
+{
+	struct model_frame *f = g_new0(struct model_frame, 1);
+
+	f->frame = frame;
+	f->vm = vm;
+	f->leader = leader;
+	f->to_agent = to_agent;
+	f->link_life = m->leaders[leader].link_life[vm];
+	f->at_ms = m->now_ms + STEP_MS;
+	g_ptr_array_add(m->frames, f);
+}
+
+static void agent_reduce(struct model *m, int vm, struct runs_event *ev)
+{
+	g_autoptr(GArray)
+		effects = g_array_new(FALSE, FALSE, sizeof(struct runs_effect));
+	guint i;
+
+	ev->now_ms = m->now_ms;
+	m->events++;
+	runs_reduce(m->vms[vm].runs, ev, effects);
+	for (i = 0; i < effects->len; i++) {
+		struct runs_effect *e = &g_array_index(effects,
+						       struct runs_effect, i);
+		struct model_call *c;
+
+		if (e->kind == RUNS_EFFECT_REPORT) {
+			send_frame(m, m->vms[vm].leader, vm, FALSE, e->frame);
+			continue;
+		}
+		c = g_new0(struct model_call, 1);
+		c->call = e->call;
+		c->vm = vm;
+		c->agent_life = m->vms[vm].agent_life;
+		c->born_ms = m->vms[vm].worker.born_ms;
+		c->at_ms = m->now_ms + STEP_MS + e->call->wait_ms / 5;
+		c->timeout_ms = m->now_ms + e->call->timeout_ms;
+		c->mute = chance(m, 0.05);
+		/* Carried out seconds later, after newer calls. */
+		if (c->mute && g_rand_boolean(m->rand))
+			c->at_ms = m->now_ms +
+				   g_rand_int_range(m->rand, 1000, 8000);
+		g_ptr_array_add(m->calls, c);
+	}
+}
+
+static void leader_reduce(struct model *m, guint leader, struct sch_event *ev)
+{
+	struct model_leader *l = &m->leaders[leader];
+	g_autoptr(GArray)
+		effects = g_array_new(FALSE, FALSE, sizeof(struct sch_effect));
+	guint i;
+
+	ev->now_ms = m->now_ms;
+	ev->unix_ms = m->now_ms + 1000000;
+	m->events++;
+	sch_reduce(l->sch, ev, effects);
+	for (i = 0; i < effects->len; i++) {
+		struct sch_effect *e = &g_array_index(effects,
+						      struct sch_effect, i);
+		GHashTableIter iter;
+		gpointer value;
+
+		switch (e->kind) {
+		case SCH_EFFECT_ORDERS:
+			send_frame(m, leader, atoi(e->vm + 2), TRUE,
+				   g_steal_pointer(&e->frame));
+			break;
+		case SCH_EFFECT_COMMIT:
+			ck_assert_uint_le(e->txn->ops->len, GROUP_OPS);
+			l->txn = g_steal_pointer(&e->txn);
+			l->txn_ms =
+				m->now_ms +
+				(chance(m, 0.05)
+					 ? g_rand_int_range(m->rand, 100, 1500)
+					 : STEP_MS);
+			break;
+		case SCH_EFFECT_REPLY:
+			g_hash_table_iter_init(&iter, m->jobs);
+			while (g_hash_table_iter_next(&iter, NULL, &value)) {
+				struct job_check *job = value;
+
+				if (job->ref != e->call_ref)
+					continue;
+				if (e->reply.status == 200)
+					job->accepted = TRUE;
+				if (e->reply.status == 503 && !job->accepted)
+					job->refused = TRUE;
+			}
+			break;
+		}
+		sch_effect_clear(e);
+	}
+}
+
+/* Writes if this leader is still the elected one. */
+static void run_txn(struct model *m, guint leader)
+{
+	struct model_leader *l = &m->leaders[leader];
+	struct sch_event ev = { .kind = SCH_EVENT_COMMITTED };
+	guint i;
+
+	if (!l->txn || m->now_ms < l->txn_ms)
+		return;
+	if (leader != m->current) {
+		kv_txn_free(l->txn);
+		l->txn = NULL;
+		l->elected = FALSE;
+		return;
+	}
+	for (i = 0; i < l->txn->ops->len; i++) {
+		const struct kv_op *op = &g_array_index(l->txn->ops,
+							struct kv_op, i);
+
+		if (op->kind == KV_OP_PUT)
+			g_hash_table_insert(m->store, g_strdup(op->key),
+					    g_bytes_ref(op->value));
+		else
+			g_hash_table_remove(m->store, op->key);
+	}
+	kv_txn_free(l->txn);
+	l->txn = NULL;
+	m->revision++;
+	/* The answer is lost with its leader: written, and nobody knows. */
+	if (chance(m, 0.02)) {
+		m->next_leader_ms = m->now_ms;
+		return;
+	}
+	leader_reduce(m, leader, &ev);
+}
+
+static GPtrArray *queues_new(void)
+{
+	GPtrArray *queues = g_ptr_array_new();
+	struct sch_queue *queue = sch_queue_new();
+
+	queue->name = g_strdup("batch");
+	queue->host = g_strdup("h");
+	queue->path_prefix = g_strdup("/b/");
+	queue->pool = g_strdup("pool");
+	queue->max_attempts = MAX_ATTEMPTS;
+	queue->slack_factor = 2;
+	queue->target_ms = 1000;
+	g_ptr_array_add(queues, queue);
+	return queues;
+}
+
+static void load(struct model *m, struct sch *sch)
+{
+	g_autoptr(GList) keys = g_list_sort(g_hash_table_get_keys(m->store),
+					    (GCompareFunc)strcmp);
+	GList *k;
+
+	for (k = keys; k; k = k->next) {
+		const char *key = k->data;
+		gsize len;
+		const void *data = g_bytes_get_data(
+			g_hash_table_lookup(m->store, key), &len);
+		int result;
+
+		if (g_str_has_prefix(key, SCH_JOB_PREFIX))
+			result = sch_load_job(sch, key + strlen(SCH_JOB_PREFIX),
+					      data, len);
+		else
+			result = sch_load_progress(
+				sch, key + strlen(SCH_PROGRESS_PREFIX), data,
+				len, m->now_ms + 1000000);
+		ck_assert_int_eq(result, 0);
+	}
+}
+
+static void drop_leader(struct model *m, guint leader)
+{
+	struct model_leader *l = &m->leaders[leader];
+	int v;
+
+	if (!l->sch)
+		return;
+	for (v = 0; v < VMS; v++) {
+		l->connected[v] = FALSE;
+		l->link_life[v]++;
+	}
+	if (l->txn)
+		kv_txn_free(l->txn);
+	l->txn = NULL;
+	sch_free(l->sch);
+	l->sch = NULL;
+}
+
+/* The earlier leader may go on for a while without knowing. */
+static void elect(struct model *m)
+{
+	struct sch_options options = {
+		.lease_ms = LEASE_MS,
+		.authority_ms = AUTHORITY_MS,
+		.max_ops = GROUP_OPS,
+		.retention_ms = 10000000,
+	};
+	struct sch_event ev = { .kind = SCH_EVENT_TABLES };
+	guint old = m->current;
+	guint next = (m->current + 1) % G_N_ELEMENTS(m->leaders);
+	struct model_leader *l = &m->leaders[next];
+
+	drop_leader(m, next);
+	if (m->leaders[old].sch && g_rand_boolean(m->rand))
+		drop_leader(m, old);
+	else
+		m->leaders[old].ends_ms = m->now_ms + 4000;
+	m->current = next;
+	l->fence = ++m->revision;
+	l->elected = TRUE;
+	l->ends_ms = G_MAXINT64;
+	l->proof_ms = 0;
+	options.fence = l->fence;
+	l->sch = sch_new(&options, m->now_ms);
+	load(m, l->sch);
+	ev.queues = queues_new();
+	leader_reduce(m, next, &ev);
+	m->next_leader_ms = m->now_ms + g_rand_int_range(m->rand, 3000, 15000);
+}
+
+static void submit(struct model *m)
+{
+	struct job_check *job = g_new0(struct job_check, 1);
+	g_autofree char *id = g_strdup_printf("%016x",
+					      g_hash_table_size(m->jobs) + 1);
+	g_autofree char *path = g_strconcat("/b/", id, NULL);
+	struct Rp__StepCall call;
+	struct sch_event ev = { .kind = SCH_EVENT_CALL, .call = &call };
+	guint i;
+
+	job->spec = g_malloc(sizeof(*job->spec));
+	rp__step_job__init(job->spec);
+	job->spec->n_steps = (size_t)g_rand_int_range(m->rand, 1, 4);
+	job->spec->steps = g_new0(struct Rp__StepSpec *, job->spec->n_steps);
+	for (i = 0; i < job->spec->n_steps; i++) {
+		struct Rp__StepSpec *step = g_malloc(sizeof(*step));
+		struct Rp__Resources *need = g_malloc(sizeof(*need));
+
+		rp__step_spec__init(step);
+		rp__resources__init(need);
+		need->cpu_milli = g_rand_int_range(m->rand, 500, 4000);
+		step->need = need;
+		step->replicas = (guint32)g_rand_int_range(m->rand, 1, 5);
+		step->estimate_ms = 1000;
+		step->gang = g_rand_double(m->rand) < 0.1;
+		if (i) {
+			step->n_after = 1;
+			step->after = g_new0(guint32, 1);
+			step->after[0] = i - 1;
+		}
+		job->spec->steps[i] = step;
+	}
+	job->ref = ++m->next_ref;
+	g_hash_table_insert(m->jobs, g_strdup(id), job);
+	rp__step_call__init(&call);
+	call.verb = RP__STEP_VERB__STEP_VERB_SUBMIT;
+	call.host = (char *)"h";
+	call.path = path;
+	call.job = job->spec;
+	ev.call_ref = job->ref;
+	if (m->leaders[m->current].sch)
+		leader_reduce(m, m->current, &ev);
+}
+
+static void agent_start(struct model *m, int vm)
+{
+	m->vms[vm].runs = runs_new();
+	m->vms[vm].agent_life++;
+}
+
+static void agent_stop(struct model *m, int vm)
+{
+	guint i;
+
+	runs_free(m->vms[vm].runs);
+	m->vms[vm].runs = NULL;
+	for (i = 0; i < G_N_ELEMENTS(m->leaders); i++) {
+		struct sch_event ev = { .kind = SCH_EVENT_VM_DOWN };
+		g_autofree char *name = g_strdup_printf("vm%d", vm);
+
+		if (!m->leaders[i].sch || !m->leaders[i].connected[vm])
+			continue;
+		m->leaders[i].connected[vm] = FALSE;
+		m->leaders[i].link_life[vm]++;
+		ev.vm = name;
+		leader_reduce(m, i, &ev);
+	}
+}
+
+static void heartbeat(struct model *m, int vm)
+{
+	struct Rp__WorkerInfo info;
+	struct Rp__Resources capacity;
+	struct runs_event ev = { .kind = RUNS_EVENT_WORKER, .worker = &info };
+	g_autofree char *id = g_strdup_printf("w%d", vm);
+
+	if (!m->vms[vm].runs || !m->vms[vm].worker.up)
+		return;
+	rp__worker_info__init(&info);
+	rp__resources__init(&capacity);
+	capacity.cpu_milli = CAPACITY_MILLI;
+	info.capacity = &capacity;
+	info.worker_id = id;
+	info.born_ms = m->vms[vm].worker.born_ms;
+	info.pool = (char *)"pool";
+	info.sequence = (guint64)m->now_ms;
+	agent_reduce(m, vm, &ev);
+}
+
+static void connect_vm(struct model *m, guint leader, int vm)
+{
+	struct model_leader *l = &m->leaders[leader];
+	struct model_vm *v = &m->vms[vm];
+	struct runs_event hello = { .kind = RUNS_EVENT_LEADER,
+				    .fence = l->fence };
+	struct sch_event ev = { .kind = SCH_EVENT_VM_UP };
+	g_autofree char *name = g_strdup_printf("vm%d", vm);
+	guint old = v->leader;
+
+	l->link_next_ms[vm] = m->now_ms + 300;
+	if (!v->runs || !runs_accepts(v->runs, l->fence) || chance(m, 0.2))
+		return;
+	if (old != leader && m->leaders[old].sch &&
+	    m->leaders[old].connected[vm]) {
+		struct sch_event down = { .kind = SCH_EVENT_VM_DOWN,
+					  .vm = name };
+
+		m->leaders[old].connected[vm] = FALSE;
+		m->leaders[old].link_life[vm]++;
+		leader_reduce(m, old, &down);
+	}
+	l->connected[vm] = TRUE;
+	l->link_life[vm]++;
+	v->leader = leader;
+	ev.vm = name;
+	leader_reduce(m, leader, &ev);
+	agent_reduce(m, vm, &hello);
+}
+
+static void run_frames(struct model *m)
+{
+	guint i = 0;
+
+	while (i < m->frames->len) {
+		struct model_frame *f = m->frames->pdata[i];
+		struct model_leader *l = &m->leaders[f->leader];
+		gboolean live = l->sch && l->connected[f->vm] &&
+				l->link_life[f->vm] == f->link_life;
+		g_autofree char *name = g_strdup_printf("vm%d", f->vm);
+
+		if (m->now_ms < f->at_ms) {
+			i++;
+			continue;
+		}
+		g_ptr_array_remove_index(m->frames, i);
+		if (live && f->to_agent && m->vms[f->vm].runs) {
+			struct runs_event ev = {
+				.kind = RUNS_EVENT_ORDERS,
+				.orders = f->frame->vm_orders,
+			};
+
+			agent_reduce(m, f->vm, &ev);
+		} else if (live && !f->to_agent) {
+			struct sch_event ev = {
+				.kind = SCH_EVENT_REPORT,
+				.vm = name,
+				.report = f->frame->vm_report,
+			};
+
+			leader_reduce(m, f->leader, &ev);
+		}
+		wire_frame_free(f->frame);
+		g_free(f);
+	}
+}
+
+static void cause_faults(struct model *m)
+{
+	int vm = g_rand_int_range(m->rand, 0, VMS);
+	struct model_vm *v = &m->vms[vm];
+	guint i;
+
+	if (chance(m, 0.002) && v->worker.up) {
+		v->worker.up = FALSE;
+		v->worker.back_ms = m->now_ms +
+				    g_rand_int_range(m->rand, 200, 6000);
+	}
+	if (chance(m, 0.002) && v->runs) {
+		agent_stop(m, vm);
+		v->agent_back_ms = m->now_ms +
+				   g_rand_int_range(m->rand, 200, 5000);
+	}
+	if (chance(m, 0.003)) {
+		for (i = 0; i < G_N_ELEMENTS(m->leaders); i++) {
+			struct sch_event ev = { .kind = SCH_EVENT_VM_DOWN };
+			g_autofree char *name = g_strdup_printf("vm%d", vm);
+			struct model_leader *l = &m->leaders[i];
+
+			if (!l->sch || !l->connected[vm])
+				continue;
+			l->connected[vm] = FALSE;
+			l->link_life[vm]++;
+			l->link_next_ms[vm] =
+				m->now_ms + g_rand_int_range(m->rand, 0, 9000);
+			ev.vm = name;
+			leader_reduce(m, i, &ev);
+		}
+	}
+	/* All VMs lose power. */
+	if (chance(m, 0.0002)) {
+		for (vm = 0; vm < VMS; vm++) {
+			m->vms[vm].worker.up = FALSE;
+			m->vms[vm].worker.back_ms = m->now_ms + 1500;
+			if (m->vms[vm].runs)
+				agent_stop(m, vm);
+			m->vms[vm].agent_back_ms = m->now_ms + 1500;
+		}
+		m->next_leader_ms = m->now_ms + 1500;
+	}
+}
+
+static void step(struct model *m)
+{
+	guint i;
+	int vm;
+
+	m->now_ms += STEP_MS;
+	if (m->now_ms >= m->next_leader_ms)
+		elect(m);
+	for (vm = 0; vm < VMS; vm++) {
+		struct runs_event ev = { .kind = RUNS_EVENT_TICK };
+
+		worker_tick(m, &m->vms[vm].worker);
+		if (!m->vms[vm].runs && m->now_ms >= m->vms[vm].agent_back_ms)
+			agent_start(m, vm);
+		if (m->now_ms % 1500 == vm * 100)
+			heartbeat(m, vm);
+		if (m->vms[vm].runs)
+			agent_reduce(m, vm, &ev);
+	}
+	run_calls(m);
+	run_frames(m);
+	for (i = 0; i < G_N_ELEMENTS(m->leaders); i++) {
+		struct model_leader *l = &m->leaders[i];
+		struct sch_event ev = { .kind = SCH_EVENT_TICK };
+		struct sch_event proof = { .kind = SCH_EVENT_PROOF,
+					   .proved_ms = m->now_ms };
+
+		if (l->sch && m->now_ms >= l->ends_ms)
+			drop_leader(m, i);
+		if (!l->sch)
+			continue;
+		run_txn(m, i);
+		for (vm = 0; vm < VMS; vm++)
+			if (!l->connected[vm] &&
+			    m->now_ms >= l->link_next_ms[vm])
+				connect_vm(m, i, vm);
+		if (i == m->current && m->now_ms >= l->proof_ms) {
+			l->proof_ms = m->now_ms + 500;
+			leader_reduce(m, i, &proof);
+		}
+		if (m->now_ms % 20 == 0)
+			leader_reduce(m, i, &ev);
+	}
+	cause_faults(m);
+}
+
+static void free_job_check(gpointer data)
+{
+	struct job_check *job = data;
+
+	rp__step_job__free_unpacked(job->spec, NULL);
+	g_free(job);
+}
+
+static void unref_bytes(gpointer bytes)
+{
+	g_bytes_unref(bytes);
+}
+
+static void model_init(struct model *m, guint32 seed)
+{
+	int vm;
+
+	memset(m, 0, sizeof(*m));
+	m->seed = seed;
+	m->rand = g_rand_new_with_seed(seed);
+	m->store = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					 unref_bytes);
+	m->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					free_job_check);
+	m->done = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	m->failed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					  NULL);
+	m->ended_done = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					      NULL);
+	m->calls = g_ptr_array_new();
+	m->frames = g_ptr_array_new();
+	for (vm = 0; vm < VMS; vm++) {
+		worker_init(m, &m->vms[vm].worker);
+		agent_start(m, vm);
+	}
+}
+
+static void model_clear(struct model *m)
+{
+	guint i;
+	int vm;
+
+	for (i = 0; i < G_N_ELEMENTS(m->leaders); i++)
+		drop_leader(m, i);
+	for (vm = 0; vm < VMS; vm++) {
+		if (m->vms[vm].runs)
+			runs_free(m->vms[vm].runs);
+		worker_clear(&m->vms[vm].worker);
+	}
+	for (i = 0; i < m->calls->len; i++)
+		free_call(m->calls->pdata[i]);
+	for (i = 0; i < m->frames->len; i++) {
+		struct model_frame *f = m->frames->pdata[i];
+
+		wire_frame_free(f->frame);
+		g_free(f);
+	}
+	g_ptr_array_unref(m->calls);
+	g_ptr_array_unref(m->frames);
+	g_hash_table_unref(m->store);
+	g_hash_table_unref(m->jobs);
+	g_hash_table_unref(m->done);
+	g_hash_table_unref(m->failed);
+	g_hash_table_unref(m->ended_done);
+	g_rand_free(m->rand);
+}
+
+/* Accepted jobs have ended, and done ones have all their tasks done. */
+static void check_jobs(struct model *m, guint32 seed)
+{
+	GHashTableIter iter;
+	gpointer key;
+	gpointer value;
+	guint accepted = 0;
+
+	g_hash_table_iter_init(&iter, m->jobs);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		const struct job_check *job = value;
+		const struct sch_job *known = g_hash_table_lookup(
+			m->leaders[m->current].sch->jobs, key);
+
+		if (!job->accepted)
+			continue;
+		accepted++;
+		ck_assert_msg(known != NULL, "seed %u: job %s is lost", seed,
+			      (char *)key);
+		ck_assert_msg(sch_job_has_ended(known),
+			      "seed %u: job %s has not ended", seed,
+			      (char *)key);
+		if (known->state == RP__JOB_STATE__JOB_STATE_DONE)
+			check_order(m, key, job->spec,
+				    (guint)job->spec->n_steps - 1);
+	}
+	ck_assert_uint_gt(accepted, 5);
+	ck_assert_uint_gt(m->starts, 20);
+}
+
+/*
+ * Guards against a task that runs twice, a VM that is given too much, a step
+ * that begins early, a refused or lost job, and work that stands still after
+ * kills, cuts, lost answers, late calls and two leaders at a time.
+ */
+START_TEST(test_random_faults)
+{
+	const char *text = g_getenv("RP_SEEDS");
+	const char *first_text = g_getenv("RP_FIRST_SEED");
+	guint first = first_text ? (guint)atoi(first_text) : 1;
+	guint seeds = text ? (guint)atoi(text) : DEFAULT_SEEDS;
+	guint64 events = 0;
+	guint seed;
+
+	for (seed = first; seed < first + seeds; seed++) {
+		struct model m;
+
+		model_init(&m, seed);
+		elect(&m);
+		while (m.now_ms < RUN_MS) {
+			step(&m);
+			if (m.now_ms < RUN_MS - 10000 && m.now_ms % 1000 == 500)
+				submit(&m);
+		}
+		m.calm = TRUE;
+		m.next_leader_ms = G_MAXINT64;
+		while (m.now_ms < RUN_MS + HEAL_MS)
+			step(&m);
+		check_jobs(&m, seed);
+		events += m.events;
+		model_clear(&m);
+	}
+	ck_assert_uint_gt(events, seeds * 10000);
+}
+END_TEST
+
+static void silent(const char *domain G_GNUC_UNUSED,
+		   GLogLevelFlags level G_GNUC_UNUSED,
+		   const char *message G_GNUC_UNUSED,
+		   gpointer data G_GNUC_UNUSED)
+{
+}
+
+static GLogWriterOutput drop_log(GLogLevelFlags level G_GNUC_UNUSED,
+				 const GLogField *fields G_GNUC_UNUSED,
+				 gsize n G_GNUC_UNUSED,
+				 gpointer data G_GNUC_UNUSED)
+{
+	return G_LOG_WRITER_HANDLED;
+}
+
+int main(void)
+{
+	Suite *suite = suite_create("sched_model");
+	TCase *tcase = tcase_create("model");
+	SRunner *runner;
+	int failed;
+
+	g_log_set_writer_func(drop_log, NULL, NULL);
+	g_log_set_default_handler(silent, NULL);
+	tcase_add_test(tcase, test_random_faults);
+	suite_add_tcase(suite, tcase);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- a/sched/move.c
+++ b/sched/move.c
@@ -77,9 +77,9 @@
 	if (run->state != SCH_RUN_RUNNING || step->lasts || step->fills ||
 	    step->gang)
 		return FALSE;
-	limit_ms = MAX(STUCK_MIN_MS,
-		       (gint64)(STUCK_FACTOR * (double)expected_ms(s, run) /
-				10));
+	limit_ms =
+		MAX(STUCK_MIN_MS,
+		    (gint64)(STUCK_FACTOR * (double)expected_ms(s, run) / 10));
 	return s->now_ms - MAX(run->percent_ms, run->state_ms) > limit_ms &&
 	       s->now_ms - run->vm->report_ms < SCH_FRESH_MS &&
 	       run->vm->silent_ms < STUCK_MIN_MS;
@@ -91,8 +91,9 @@
 	const struct Rp__StepSpec *step = run->task->phase->step;
 
 	return step->fills && step->checkpoints && !step->gang &&
-	       run->state == SCH_RUN_RUNNING && run->percent < HELD_UP_PERCENT &&
-	       run->fair_ms && s->now_ms - run->fair_ms > HELD_UP_MS &&
+	       run->state == SCH_RUN_RUNNING &&
+	       run->percent < HELD_UP_PERCENT && run->fair_ms &&
+	       s->now_ms - run->fair_ms > HELD_UP_MS &&
 	       sch_place_has_better(s, run, BETTER_SHARE);
 }
 
@@ -156,16 +157,16 @@
 			guint32 priority)
 {
 	const struct Rp__StepSpec *step = run->task->phase->step;
-	const struct sch_queue *queue =
-		sch_queue_find(s, run->task->job->queue);
+	const struct sch_queue *queue = sch_queue_find(s,
+						       run->task->job->queue);
 
 	if (!queue || queue->priority <= priority || step->lasts ||
 	    step->gang || step->fills || run->stopping ||
 	    run->state != SCH_RUN_RUNNING)
 		return -1;
-	return step->checkpoints ? 0
-				 : step->need->cpu_milli *
-					   (s->now_ms - run->state_ms);
+	return step->checkpoints
+		       ? 0
+		       : step->need->cpu_milli * (s->now_ms - run->state_ms);
 }
 
 static gint64 stopping_milli(const struct sch_vm *vm)
@@ -182,8 +183,7 @@
 	return milli;
 }
 
-void sch_preempt(struct sch *s, const struct sch_phase *phase,
-		 guint32 priority)
+void sch_preempt(struct sch *s, const struct sch_phase *phase, guint32 priority)
 {
 	gint64 wanted = phase->step->need->cpu_milli * phase->n_idle;
 	GHashTableIter iter;
--- a/sched/place.c
+++ b/sched/place.c
@@ -146,8 +146,7 @@
 	    (*step->label && !sch_vm_has_label(vm, step->label)) ||
 	    (task->n_runs && task->runs[0]->vm == vm))
 		return FALSE;
-	if (step->max_per_vm &&
-	    count_on(vm, task->phase) >= step->max_per_vm)
+	if (step->max_per_vm && count_on(vm, task->phase) >= step->max_per_vm)
 		return FALSE;
 	/* A worker with a recent fault is tried with first attempts only. */
 	return !vm->faults || !task->failures;
@@ -177,7 +176,7 @@
 	const struct Rp__StepSpec *step = task->phase->step;
 	double capacity = (double)MAX(vm->capacity.cpu_milli, 1);
 	double used = (double)vm->used.cpu_milli / capacity;
-	double points = used;
+	double points;
 
 	if (step->target_ms) {
 		/* Few images that serve on a VM leave more that fill beside. */
@@ -193,8 +192,8 @@
 	}
 	if (*step->data_rack && g_strcmp0(vm->rack, step->data_rack))
 		points += 2;
-	if (vm->slowness > SLOW_FACTOR && s->now_ms < vm->slowness_ms +
-						       SLOWNESS_MS)
+	if (vm->slowness > SLOW_FACTOR &&
+	    s->now_ms < vm->slowness_ms + SLOWNESS_MS)
 		points += 4 * vm->slowness;
 	if (!g_strcmp0(vm->name, task->failed_vm))
 		points += 8;
@@ -343,8 +342,8 @@
 		add_job(s, candidates, s->active->pdata[i]);
 	g_array_sort(candidates, compare);
 	for (i = 0; i < candidates->len; i++) {
-		const struct candidate *c =
-			&g_array_index(candidates, struct candidate, i);
+		const struct candidate *c = &g_array_index(candidates,
+							   struct candidate, i);
 
 		if (c->phase->step->gang)
 			plan_gang(s, c->phase);
--- a/sched/record.c
+++ b/sched/record.c
@@ -113,32 +113,32 @@
 {
 	struct sch_vm *vm;
 	struct sch_run *run;
+	gboolean earlier;
 
 	if (!*place->vm || task->n_runs == SCH_MAX_COPIES)
 		return;
 	vm = sch_vm_get(s, place->vm);
-	if (vm->worker_id && place->worker_born_ms < vm->born_ms)
-		return;
-	if (!vm->worker_id || place->worker_born_ms > vm->born_ms ||
-	    strcmp(vm->worker_id, place->worker_id)) {
-		/* Runs of an earlier life ended with it. */
-		while (vm->runs->len)
-			sch_run_remove(s, vm->runs->pdata[0]);
-		sch_vm_set_life(vm, place->worker_id, place->worker_born_ms);
-	}
+	earlier = vm->worker_id && place->worker_born_ms < vm->born_ms;
+	if (!earlier &&
+	    (!vm->worker_id || place->worker_born_ms != vm->born_ms ||
+	     strcmp(vm->worker_id, place->worker_id) != 0))
+		sch_vm_set_life(s, vm, place->worker_id, place->worker_born_ms);
+	if (s->unix_ms > (gint64)vm->born_ms + SCH_YOUNG_MS)
+		vm->life_ms = 0;
 	run = sch_run_new(s, task, vm, place->attempt);
 	run->state = SCH_RUN_ORDERED;
 	task->job->started = TRUE;
 	/* A copy of a task that is done has been ordered to stop. */
 	run->stopping = task->done;
+	run->orphan = earlier;
 }
 
 static int load_task(struct sch *s, struct sch_job *job,
 		     const struct Rp__TaskProgress *progress)
 {
-	g_autofree char *name = g_strdup_printf(
-		"%s.%u.%u.%u", job->id, progress->occurrence, progress->step,
-		progress->index);
+	g_autofree char *name =
+		g_strdup_printf("%s.%u.%u.%u", job->id, progress->occurrence,
+				progress->step, progress->index);
 	struct sch_job *found;
 	struct sch_task *task = sch_job_task(s, name, &found);
 	size_t i;
@@ -179,8 +179,8 @@
 int sch_load_progress(struct sch *s, const char *id, const void *data,
 		      size_t len, gint64 unix_ms)
 {
-	struct Rp__StepProgress *progress =
-		rp__step_progress__unpack(NULL, len, data);
+	struct Rp__StepProgress *progress = rp__step_progress__unpack(NULL, len,
+								      data);
 	struct sch_job *job = g_hash_table_lookup(s->jobs, id);
 	int result = 0;
 	size_t i;
--- a/sched/vm.c
+++ b/sched/vm.c
@@ -100,11 +100,35 @@
 			 vm->worker_id, why);
 }
 
-void sch_vm_set_life(struct sch_vm *vm, const char *worker_id, guint64 born_ms)
+/* Runs that were not ordered yet are dropped: the next life may be smaller. */
+static void orphan_runs(struct sch *s, struct sch_vm *vm)
 {
+	guint i = 0;
+
+	while (i < vm->runs->len) {
+		struct sch_run *run = vm->runs->pdata[i];
+
+		if (run->state != SCH_RUN_PLANNED) {
+			run->orphan = TRUE;
+			i++;
+		} else if (run->committing) {
+			run->stopping = TRUE;
+			i++;
+		} else {
+			sch_run_remove(s, run);
+		}
+	}
+}
+
+void sch_vm_set_life(struct sch *s, struct sch_vm *vm, const char *worker_id,
+		     guint64 born_ms)
+{
+	if (vm->worker_id)
+		orphan_runs(s, vm);
 	g_free(vm->worker_id);
 	vm->worker_id = g_strdup(worker_id);
 	vm->born_ms = born_ms;
+	vm->life_ms = s->now_ms;
 	vm->known = FALSE;
 	vm->synced = FALSE;
 	vm->adopted = FALSE;
@@ -171,9 +195,10 @@
 		return;
 	avoid_ms = AVOID_MS << MIN(vm->faults - FAULTS_TO_AVOID, 3);
 	vm->avoid_until_ms = s->now_ms + MIN(avoid_ms, AVOID_MAX_MS);
-	g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_WARNING, "VM", vm->name,
-			 "MESSAGE", "avoided for %" G_GINT64_FORMAT
-			 " ms after %u faults in a row", avoid_ms, vm->faults);
+	g_log_structured(
+		G_LOG_DOMAIN, G_LOG_LEVEL_WARNING, "VM", vm->name, "MESSAGE",
+		"avoided for %" G_GINT64_FORMAT " ms after %u faults in a row",
+		avoid_ms, vm->faults);
 }
 
 void sch_vm_forgive(struct sch_vm *vm)
@@ -202,8 +227,10 @@
 	}
 	if (info->draining && !vm->draining)
 		g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "VM", vm->name,
-				 "MESSAGE", "worker %s drains, %" G_GINT64_FORMAT
-				 " ms left", vm->worker_id, info->remaining_ms);
+				 "MESSAGE",
+				 "worker %s drains, %" G_GINT64_FORMAT
+				 " ms left",
+				 vm->worker_id, info->remaining_ms);
 	vm->draining = info->draining;
 	vm->leaves_ms = info->draining ? s->now_ms + info->remaining_ms : 0;
 	if (!vm->known)
@@ -220,11 +247,8 @@
 
 	if (!same && vm->worker_id && info->born_ms < vm->born_ms)
 		return FALSE;
-	if (!same) {
-		if (vm->worker_id)
-			lose_runs(s, vm, "another worker lives on the VM");
-		sch_vm_set_life(vm, info->worker_id, info->born_ms);
-	}
+	if (!same)
+		sch_vm_set_life(s, vm, info->worker_id, info->born_ms);
 	if (info->gone) {
 		lose_runs(s, vm, "the worker has left");
 		vm->known = FALSE;
@@ -258,6 +282,7 @@
 		run->percent_ms = s->now_ms;
 	}
 	run->outdated = FALSE;
+	run->orphan = FALSE;
 	sch_task_set_checkpoint(run->task, row->checkpoint);
 }
 
@@ -290,7 +315,8 @@
 
 		if (run->state == SCH_RUN_PLANNED)
 			continue;
-		if (run->stopping) {
+		if (run->stopping || (run->orphan && !is_listed(report, run))) {
+			/* A stop also makes sure that it never starts. */
 			run->stopping = FALSE;
 			sch_run_stop(s, run);
 		} else if (!is_listed(report, run)) {
@@ -384,7 +410,8 @@
 	if (strcmp(answer->reason, "stopped") &&
 	    strcmp(answer->reason, "draining") && !run->stopping)
 		sch_vm_fault(s, vm, run->task->job);
-	if (run->task->phase->step->gang && !sch_job_has_ended(run->task->job)) {
+	if (run->task->phase->step->gang &&
+	    !sch_job_has_ended(run->task->job)) {
 		struct sch_phase *phase = run->task->phase;
 		guint i;
 
@@ -428,21 +455,26 @@
 
 static gboolean lease_is_over(const struct sch *s, const struct sch_vm *vm)
 {
-	gint64 lease_ms = (gint64)((double)s->options.lease_ms /
-				   CLOCK_RATE_MIN);
+	gint64 lease_ms =
+		(gint64)((double)s->options.lease_ms / CLOCK_RATE_MIN);
 	gint64 others_until_ms = s->elected_ms + s->options.authority_ms +
 				 lease_ms + LEASE_SLACK_MS;
 	gint64 clock_ms;
 
+	/* The agent may have sent a lease of the life before to this one. */
+	if (vm->life_ms && s->now_ms <= vm->life_ms + SCH_ORDER_MS +
+						(gint64)(SCH_LONGEST_LEASE_MS /
+							 CLOCK_RATE_MIN))
+		return FALSE;
 	/* Until its lists are read, earlier leaders may have extended it. */
 	if ((!vm->adopted || !vm->lease_until_ms) &&
 	    s->now_ms <= others_until_ms)
 		return FALSE;
 	if (!vm->lease_until_ms)
 		return TRUE;
-	clock_ms = vm->clock_ms + (gint64)((double)(s->now_ms -
-						    vm->clock_at_ms) *
-					   CLOCK_RATE_MIN);
+	clock_ms = vm->clock_ms +
+		   (gint64)((double)(s->now_ms - vm->clock_at_ms) *
+			    CLOCK_RATE_MIN);
 	return clock_ms > vm->lease_until_ms + LEASE_SLACK_MS;
 }
 
@@ -546,7 +578,9 @@
 				    vm->clock_ms + s->options.lease_ms);
 		orders->lease_until_ms = vm->lease_until_ms;
 		orders->ended_through = vm->ended_through;
-		fill_orders(vm, orders);
+		/* Until then it is open what has to be ordered again. */
+		if (vm->synced)
+			fill_orders(vm, orders);
 		sch_interfere_tell(s, vm, orders);
 	}
 	vm->orders_ms = s->now_ms;
