--- a/runs/runs.c
+++ b/runs/runs.c
@@ -226,8 +226,10 @@
 	r->reported_end = 0;
 	r->lists_valid = FALSE;
 	r->listed_ms = 0;
-	/* A hold under way was sent under the earlier fence. */
+	/* A hold under way was sent under the earlier fence; without its
+	 * answer, the worker may have begun another life. */
 	r->hold_call = 0;
+	r->verified = FALSE;
 	r->next_hold_ms = 0;
 	r->report_due = TRUE;
 }
--- a/sched/model_test.c
+++ b/sched/model_test.c
@@ -772,7 +772,9 @@
 	load(m, l->sch);
 	ev.queues = queues_new();
 	leader_reduce(m, next, &ev);
-	m->next_leader_ms = m->now_ms + g_rand_int_range(m->rand, 3000, 15000);
+	m->next_leader_ms = m->calm ? G_MAXINT64
+				    : m->now_ms + g_rand_int_range(m->rand,
+								   3000, 15000);
 }
 
 static void submit(struct model *m)
@@ -1144,7 +1146,8 @@
 				submit(&m);
 		}
 		m.calm = TRUE;
-		m.next_leader_ms = G_MAXINT64;
+		/* The answer of the last transaction may have been lost. */
+		m.next_leader_ms = m.now_ms;
 		while (m.now_ms < RUN_MS + HEAL_MS)
 			step(&m);
 		check_jobs(&m, seed);
