--- /dev/null
+++ b/colo/colo_test.c
@@ -0,0 +1,101 @@
+#include <check.h>
+#include <stdlib.h>
+
+#include "colo.h"
+
+/* Latency that the model of the header gives, relative to the target. */
+static double latency(double base, double stretch)
+{
+	return base / (1 - stretch);
+}
+
+/* Guards against all neighbours being blamed for what one of them does. */
+START_TEST(test_blames_the_guilty_image)
+{
+	struct colo_table *table = colo_table_new();
+	struct colo_serving serving = { 0 };
+	guint i;
+
+	for (i = 0; i < 200; i++) {
+		double guilty = i % 3 ? 6.0 : 0;
+		double harmless = i % 2 ? 10.0 : 3.0;
+		struct colo_use uses[] = {
+			{ "guilty", guilty },
+			{ "harmless", harmless },
+		};
+
+		serving.told_base = 0.3;
+		colo_learn(table, &serving, "web", latency(0.3, 0.08 * guilty),
+			   uses, 2);
+	}
+	ck_assert_double_gt(colo_slope(table, "web", "guilty"), 0.05);
+	ck_assert_double_lt(colo_slope(table, "web", "harmless"), 0.01);
+	colo_table_free(table);
+}
+END_TEST
+
+/* Guards against load swings of the service being learned as interference. */
+START_TEST(test_own_load_is_not_interference)
+{
+	struct colo_table *table = colo_table_new();
+	struct colo_serving serving = { 0 };
+	struct colo_use uses[] = { { "fill", 8 } };
+	guint i;
+
+	for (i = 0; i < 200; i++) {
+		double load = 0.3 + 0.3 * (i % 28) / 28;
+
+		serving.told_base = load;
+		colo_learn(table, &serving, "web", load, uses, 1);
+	}
+	ck_assert_double_lt(colo_slope(table, "web", "fill"), 0.005);
+	colo_table_free(table);
+}
+END_TEST
+
+/* Guards against a task over its limit that is said to have room. */
+START_TEST(test_room)
+{
+	struct colo_serving calm = { .base = 0.2 };
+	struct colo_serving busy = { .base = 0.9 };
+	struct colo_serving unknown = { 0 };
+
+	ck_assert_double_gt(colo_room(&calm), 0.5);
+	ck_assert_double_eq(colo_room(&busy), 0);
+	ck_assert_double_gt(colo_room(&unknown), 0);
+}
+END_TEST
+
+START_TEST(test_slopes_are_bounded)
+{
+	struct colo_table *table = colo_table_new();
+
+	ck_assert(!colo_is_known(table, "a", "b"));
+	ck_assert_double_gt(colo_slope(table, "a", "b"), 0);
+	colo_set_slope(table, "a", "b", -3);
+	ck_assert_double_eq(colo_slope(table, "a", "b"), 0);
+	ck_assert(colo_is_known(table, "a", "b"));
+	colo_set_slope(table, "a", "b", 50);
+	ck_assert_double_le(colo_slope(table, "a", "b"), 1);
+	colo_table_free(table);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("colo");
+	TCase *tcase = tcase_create("colo");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_test(tcase, test_blames_the_guilty_image);
+	tcase_add_test(tcase, test_own_load_is_not_interference);
+	tcase_add_test(tcase, test_room);
+	tcase_add_test(tcase, test_slopes_are_bounded);
+	suite_add_tcase(suite, tcase);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/runs/runs_test.c
@@ -0,0 +1,298 @@
+#include <check.h>
+#include <stdlib.h>
+
+#include "runs.h"
+
+/* One agent whose worker and leader are the test. */
+struct agent {
+	struct runs *runs;
+	gint64 now_ms;
+	GArray *effects;
+	/** The hold under way. */
+	guint64 hold;
+};
+
+static void clear(struct agent *a)
+{
+	guint i;
+
+	for (i = 0; i < a->effects->len; i++) {
+		struct runs_effect *e = &g_array_index(a->effects,
+						       struct runs_effect, i);
+
+		if (e->kind == RUNS_EFFECT_CALL &&
+		    e->call->kind == RUNS_CALL_HOLD)
+			a->hold = e->call->id;
+		runs_effect_clear(e);
+	}
+	g_array_set_size(a->effects, 0);
+}
+
+static void reduce(struct agent *a, struct runs_event *ev)
+{
+	ev->now_ms = a->now_ms;
+	runs_reduce(a->runs, ev, a->effects);
+}
+
+static void tick(struct agent *a, gint64 ms)
+{
+	struct runs_event ev = { .kind = RUNS_EVENT_TICK };
+
+	a->now_ms += ms;
+	reduce(a, &ev);
+}
+
+static void worker(struct agent *a, guint64 born_ms, gboolean draining)
+{
+	struct Rp__WorkerInfo info;
+	struct runs_event ev = { .kind = RUNS_EVENT_WORKER, .worker = &info };
+
+	rp__worker_info__init(&info);
+	info.worker_id = (char *)"w1";
+	info.pool = (char *)"pool";
+	info.born_ms = born_ms;
+	info.draining = draining;
+	info.sequence = (guint64)a->now_ms;
+	reduce(a, &ev);
+}
+
+static void leader(struct agent *a, guint64 fence)
+{
+	struct runs_event ev = { .kind = RUNS_EVENT_LEADER, .fence = fence };
+
+	reduce(a, &ev);
+}
+
+/* The last call of the kind that was made, or NULL. */
+static struct runs_call *call(struct agent *a, enum runs_call_kind kind)
+{
+	guint i;
+
+	for (i = a->effects->len; i-- > 0;) {
+		struct runs_effect *e = &g_array_index(a->effects,
+						       struct runs_effect, i);
+
+		if (e->kind == RUNS_EFFECT_CALL && e->call->kind == kind)
+			return e->call;
+	}
+	return NULL;
+}
+
+/* The last report with an answer on a start, or NULL. */
+static struct Rp__RunAnswer *reported(struct agent *a)
+{
+	guint i;
+
+	for (i = a->effects->len; i-- > 0;) {
+		struct runs_effect *e = &g_array_index(a->effects,
+						       struct runs_effect, i);
+
+		if (e->kind == RUNS_EFFECT_REPORT &&
+		    e->frame->vm_report->n_answers)
+			return e->frame->vm_report->answers[0];
+	}
+	return NULL;
+}
+
+static void answer(struct agent *a, guint64 id, enum runs_outcome outcome,
+		   const char *reason, guint64 born_ms)
+{
+	struct runs_answer answer = {
+		.call_id = id,
+		.outcome = outcome,
+		.reason = reason,
+		.clock_ms = 5000,
+		.born_ms = born_ms,
+	};
+	struct runs_event ev = { .kind = RUNS_EVENT_ANSWER, .answer = &answer };
+
+	clear(a);
+	reduce(a, &ev);
+}
+
+static void orders(struct agent *a, guint64 fence, guint64 born_ms,
+		   gboolean stop)
+{
+	struct Rp__VmOrders body;
+	struct Rp__RunStart start;
+	struct Rp__RunStart *starts[] = { &start };
+	struct Rp__RunName name;
+	struct Rp__RunName *stops[] = { &name };
+	struct runs_event ev = { .kind = RUNS_EVENT_ORDERS, .orders = &body };
+
+	rp__vm_orders__init(&body);
+	rp__run_start__init(&start);
+	rp__run_name__init(&name);
+	name.task = (char *)"j.0.0.0";
+	name.attempt = 1;
+	start.run = &name;
+	body.fence = fence;
+	body.worker_id = (char *)"w1";
+	body.worker_born_ms = born_ms;
+	body.lease_until_ms = 12000;
+	body.ended_through = 7;
+	if (stop) {
+		body.n_stops = 1;
+		body.stops = stops;
+	} else {
+		body.n_starts = 1;
+		body.starts = starts;
+	}
+	reduce(a, &ev);
+}
+
+static void setup(struct agent *a)
+{
+	a->runs = runs_new();
+	a->now_ms = 1000;
+	a->effects = g_array_new(FALSE, FALSE, sizeof(struct runs_effect));
+	worker(a, 100, FALSE);
+	leader(a, 5);
+	answer(a, call(a, RUNS_CALL_HOLD)->id, RUNS_OK, NULL, 100);
+	tick(a, 200);
+}
+
+static void teardown(struct agent *a)
+{
+	clear(a);
+	g_array_unref(a->effects);
+	runs_free(a->runs);
+}
+
+/* Guards against a start without answer that runs beside the next attempt. */
+START_TEST(test_start_without_answer_is_undone)
+{
+	struct agent a;
+	struct runs_call *c;
+	guint i;
+
+	setup(&a);
+	orders(&a, 5, 100, FALSE);
+	for (i = 0; i < 3; i++) {
+		c = call(&a, RUNS_CALL_START);
+		ck_assert_ptr_nonnull(c);
+		ck_assert_int_eq(c->lease_until_ms, 12000);
+		answer(&a, c->id, RUNS_LOST, NULL, 0);
+		ck_assert_ptr_null(reported(&a));
+	}
+	c = call(&a, RUNS_CALL_STOP);
+	ck_assert_ptr_nonnull(c);
+	answer(&a, c->id, RUNS_OK, NULL, 0);
+	ck_assert_ptr_null(reported(&a));
+	/* Only lists that were read after the stop show what is left. */
+	tick(&a, 600);
+	for (i = 0; i < 3 && !reported(&a); i++) {
+		clear(&a);
+		answer(&a, a.hold, RUNS_OK, NULL, 100);
+		if (!reported(&a))
+			tick(&a, 200);
+	}
+	ck_assert_ptr_nonnull(reported(&a));
+	ck_assert(!reported(&a)->started);
+	teardown(&a);
+}
+END_TEST
+
+/* Guards against a refusal that the leader has seen being taken back. */
+START_TEST(test_refused_start_is_never_sent_again)
+{
+	struct agent a;
+	struct runs_call *c;
+
+	setup(&a);
+	orders(&a, 5, 100, FALSE);
+	c = call(&a, RUNS_CALL_START);
+	answer(&a, c->id, RUNS_REFUSED, "late", 0);
+	ck_assert_str_eq(reported(&a)->reason, "late");
+	clear(&a);
+	orders(&a, 5, 100, FALSE);
+	ck_assert_ptr_null(call(&a, RUNS_CALL_START));
+	ck_assert(!reported(&a)->started);
+	teardown(&a);
+}
+END_TEST
+
+/* Guards against a lease and confirmations that reach the next life. */
+START_TEST(test_unverified_life_gets_nothing)
+{
+	struct agent a;
+	struct runs_call *c;
+
+	setup(&a);
+	orders(&a, 5, 100, TRUE);
+	clear(&a);
+	answer(&a, a.hold, RUNS_LOST, NULL, 0);
+	tick(&a, 200);
+	c = call(&a, RUNS_CALL_HOLD);
+	ck_assert_ptr_nonnull(c);
+	ck_assert_int_eq(c->lease_until_ms, 0);
+	ck_assert_uint_eq(c->ended_through, 0);
+	orders(&a, 5, 100, FALSE);
+	ck_assert_ptr_null(call(&a, RUNS_CALL_START));
+	teardown(&a);
+}
+END_TEST
+
+/* Guards against starts on a worker that leaves. */
+START_TEST(test_draining_worker_starts_nothing)
+{
+	struct agent a;
+
+	setup(&a);
+	worker(&a, 100, TRUE);
+	orders(&a, 5, 100, FALSE);
+	ck_assert_ptr_null(call(&a, RUNS_CALL_START));
+	ck_assert_ptr_nonnull(call(&a, RUNS_CALL_STOP));
+	teardown(&a);
+}
+END_TEST
+
+/* Guards against orders of a leader that was replaced. */
+START_TEST(test_lower_fence_is_not_obeyed)
+{
+	struct agent a;
+
+	setup(&a);
+	leader(&a, 9);
+	ck_assert(!runs_accepts(a.runs, 5));
+	answer(&a, call(&a, RUNS_CALL_HOLD)->id, RUNS_OK, NULL, 100);
+	clear(&a);
+	orders(&a, 5, 100, FALSE);
+	tick(&a, 200);
+	ck_assert_ptr_null(call(&a, RUNS_CALL_START));
+	teardown(&a);
+}
+END_TEST
+
+/* Guards against orders for a life that has ended. */
+START_TEST(test_orders_for_another_life_are_dropped)
+{
+	struct agent a;
+
+	setup(&a);
+	orders(&a, 5, 99, FALSE);
+	ck_assert_ptr_null(call(&a, RUNS_CALL_START));
+	teardown(&a);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("runs");
+	TCase *tcase = tcase_create("runs");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_test(tcase, test_start_without_answer_is_undone);
+	tcase_add_test(tcase, test_refused_start_is_never_sent_again);
+	tcase_add_test(tcase, test_unverified_life_gets_nothing);
+	tcase_add_test(tcase, test_draining_worker_starts_nothing);
+	tcase_add_test(tcase, test_lower_fence_is_not_obeyed);
+	tcase_add_test(tcase, test_orders_for_another_life_are_dropped);
+	suite_add_tcase(suite, tcase);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
