cell, runs: look for the leader's key twice a second; pace from the start

A task that fills ran at full pace until the first figures. Change: followers read the key each 500 ms; the agent paces a filling task when its start is answered.

--- a/cell/store.c
+++ b/cell/store.c
@@ -20,9 +20,12 @@
 #define RENEW_MS 400
 #define PROOF_MS 500
 
-/** Reads of the leader's key without and with a leader in touch. */
-#define LOOK_MS 250
-#define LOOK_IDLE_MS 3000
+/**
+ * Reads of the leader's key without and with a leader in touch: one that is
+ * in touch may have lost the service.
+ */
+#define LOOK_MS 200
+#define LOOK_IDLE_MS 500
 
 /** Between calls after one that failed. */
 #define RETRY_MS 60
--- a/runs/internal.h
+++ b/runs/internal.h
@@ -127,6 +127,8 @@
 /* pace.c */
 void runs_info_free(gpointer info);
 void runs_pace(struct runs *r);
+/** Paces a task that fills from its start on. */
+void runs_pace_started(struct runs *r, const char *task, guint32 attempt);
 void runs_pace_answer(struct runs *r, const struct runs_answer *answer);
 
 #endif
--- a/runs/orders.c
+++ b/runs/orders.c
@@ -232,6 +232,8 @@
 		undo(order, reason);
 		return;
 	}
+	if (answer->outcome == RUNS_OK)
+		runs_pace_started(r, order->task, order->attempt);
 	runs_answer_add(r, order->task, order->attempt,
 			answer->outcome == RUNS_OK, reason);
 	g_ptr_array_remove(r->orders, order);
--- a/runs/pace.c
+++ b/runs/pace.c
@@ -147,6 +147,60 @@
 	runs_call_send(r, call);
 }
 
+/* Share that the serving tasks leave to one more that fills. */
+static double share_beside(struct runs *r, const struct runs_info *filling)
+{
+	double share = 1;
+	guint i;
+	guint k;
+
+	for (i = 0; i < r->running->len; i++) {
+		const struct runs_info *serving = row_info(r, i);
+		double room;
+		double part;
+
+		if (!serving || !serving->target_ms)
+			continue;
+		room = colo_room(&serving->serving) * serving->trust;
+		for (k = 0; k < r->running->len; k++) {
+			const struct runs_info *info = row_info(r, k);
+
+			if (info && info->fills && info != filling)
+				room -= colo_slope(r->colo, serving->image,
+						   info->image) *
+					info->cpus * info->share;
+		}
+		part = colo_slope(r->colo, serving->image, filling->image) *
+		       filling->cpus;
+		if (part > BLAME_STRETCH)
+			share = MIN(share, MAX(room, 0) / part);
+	}
+	return share;
+}
+
+void runs_pace_started(struct runs *r, const char *task, guint32 attempt)
+{
+	struct runs_info *info = g_hash_table_lookup(r->infos, task);
+	struct runs_call *call;
+	guint percent;
+
+	if (!info || !info->fills || info->attempt != attempt ||
+	    info->pace_call)
+		return;
+	info->share = share_beside(r, info);
+	percent = info->share < SHARE_MIN ? 0 : (guint)(info->share * 100);
+	if (percent >= 95)
+		return;
+	call = runs_call_new(r, RUNS_CALL_PACE, PACE_TIMEOUT_MS);
+	call->task = g_strdup(task);
+	call->attempt = attempt;
+	call->percent = percent;
+	info->percent = percent;
+	info->paced_ms = r->now_ms;
+	info->pace_call = call->id;
+	runs_call_send(r, call);
+}
+
 void runs_pace(struct runs *r)
 {
 	guint i;
