sched: get one task of a job going, however slowly

Change: after 1.5 s a job of which nothing runs gets one task going anywhere; waiting steps are looked at each 250 ms also without an event.

--- a/sched/place.c
+++ b/sched/place.c
@@ -16,6 +16,9 @@
 /** A pass over all waiting steps is made at most this often. */
 #define PLACE_INTERVAL_MS 15
 
+/** Without an event: own loads and slopes change, and waits grow. */
+#define REVIEW_INTERVAL_MS 250
+
 /** Slower than this, a worker is taken only if no other has room. */
 #define SLOW_FACTOR 1.8
 
@@ -25,6 +28,9 @@
 /** Tasks that fill wait for a worker that lets them have this share. */
 #define MIN_FILL_SHARE 0.65
 
+/** The first task of a job waits for such a worker only so long. */
+#define STARVED_MS 1500
+
 enum urgency {
 	URGENCY_IN_TIME,
 	URGENCY_LATE,
@@ -200,6 +206,13 @@
 	return points + 2 * vm->faults;
 }
 
+/* A job of which nothing runs gets one task going, however slowly. */
+static gboolean is_starved(const struct sch *s, const struct sch_task *task)
+{
+	return !task->job->n_runs &&
+	       s->now_ms > task->phase->ready_ms + STARVED_MS;
+}
+
 static struct sch_vm *choose(struct sch *s, const struct sch_task *task,
 			     const char *rack)
 {
@@ -221,7 +234,7 @@
 			double share = sch_interfere_share(s, vm,
 							   task->phase->step);
 
-			if (share < MIN_FILL_SHARE)
+			if (share < MIN_FILL_SHARE && !is_starved(s, task))
 				continue;
 			points += 3 * (1 - share);
 		}
@@ -332,8 +345,9 @@
 	g_autoptr(GArray) candidates = NULL;
 	guint i;
 
-	if (!s->place_due || !s->queues ||
-	    s->now_ms < s->placed_ms + PLACE_INTERVAL_MS)
+	if (!s->queues ||
+	    s->now_ms < s->placed_ms + (s->place_due ? PLACE_INTERVAL_MS
+						     : REVIEW_INTERVAL_MS))
 		return;
 	s->place_due = FALSE;
 	s->placed_ms = s->now_ms;
