--- a/cell/cell.h
+++ b/cell/cell.h
@@ -70,6 +70,9 @@
 /** Resigns as leader and does not stand again; calls are still passed on. */
 void cell_entry_drain(struct cell_entry *entry);
 
+/** Brings the metrics of the options up to date. */
+void cell_entry_update_metrics(struct cell_entry *entry);
+
 /** Calls that are not answered yet. */
 guint cell_entry_pending(const struct cell_entry *entry);
 
--- a/cell/entry.c
+++ b/cell/entry.c
@@ -353,3 +353,28 @@
 {
 	return g_hash_table_size(entry->pending);
 }
+
+void cell_entry_update_metrics(struct cell_entry *entry)
+{
+	struct obs_metrics *metrics = entry->options.metrics;
+	const struct kv_calls *calls =
+		entry->options.kv->ops->calls(entry->options.kv);
+
+	obs_gauge(metrics, "radishpier_leads", NULL, entry->leading);
+	obs_gauge(metrics, "radishpier_ready", NULL,
+		  cell_entry_is_ready(entry));
+	obs_gauge(metrics, "radishpier_calls_pending", NULL,
+		  cell_entry_pending(entry));
+	obs_count_set(metrics, "radishpier_kv_calls_total", "kind=\"txn\"",
+		      calls->txns);
+	obs_count_set(metrics, "radishpier_kv_calls_total", "kind=\"range\"",
+		      calls->ranges);
+	obs_count_set(metrics, "radishpier_kv_calls_total", "kind=\"watch\"",
+		      calls->watches);
+	obs_count_set(metrics, "radishpier_kv_calls_total",
+		      "kind=\"keepalive\"", calls->lease_keepalives);
+	obs_count_set(metrics, "radishpier_kv_failures_total", NULL,
+		      calls->failures);
+	if (entry->leading)
+		cell_lead_update_metrics(entry->lead);
+}
--- a/cell/internal.h
+++ b/cell/internal.h
@@ -161,6 +161,7 @@
 void cell_lead_committed(struct cell_lead *lead);
 void cell_lead_tick(struct cell_lead *lead);
 gboolean cell_lead_has_tables(const struct cell_lead *lead);
+void cell_lead_update_metrics(struct cell_lead *lead);
 void cell_lead_call(struct cell_lead *lead, const struct Rp__StepCall *call,
 		    cell_reply_fn fn, void *ctx);
 
--- a/cell/lead.c
+++ b/cell/lead.c
@@ -464,3 +464,55 @@
 	open->ctx = ctx;
 	take_call(lead, call, open);
 }
+
+static void update_histogram(struct obs_metrics *metrics, const char *name,
+			     const guint64 *buckets)
+{
+	guint64 sum = 0;
+	guint i;
+
+	for (i = 0; i < SCH_BUCKETS; i++) {
+		g_autofree char *label =
+			i < SCH_BUCKETS - 1
+				? g_strdup_printf("le=\"%" G_GINT64_FORMAT "\"",
+						  sch_bucket_ms[i])
+				: g_strdup("le=\"+Inf\"");
+
+		sum += buckets[i];
+		obs_count_set(metrics, name, label, sum);
+	}
+}
+
+void cell_lead_update_metrics(struct cell_lead *lead)
+{
+	struct obs_metrics *metrics = lead->options.metrics;
+	struct sch_stats stats;
+
+	sch_get_stats(lead->sch, &stats);
+	obs_gauge(metrics, "radishpier_step_jobs", "state=\"waiting\"",
+		  stats.jobs_waiting);
+	obs_gauge(metrics, "radishpier_step_jobs", "state=\"running\"",
+		  stats.jobs_running);
+	obs_gauge(metrics, "radishpier_step_jobs", "state=\"ended\"",
+		  stats.jobs_ended);
+	obs_gauge(metrics, "radishpier_step_runs", NULL, stats.runs);
+	obs_gauge(metrics, "radishpier_vms", "usable=\"yes\"",
+		  stats.vms_usable);
+	obs_gauge(metrics, "radishpier_vms", "usable=\"no\"",
+		  stats.vms - stats.vms_usable);
+	obs_count_set(metrics, "radishpier_step_starts_total", NULL,
+		      stats.starts);
+	obs_count_set(metrics, "radishpier_step_runs_lost_total", NULL,
+		      stats.lost_runs);
+	obs_count_set(metrics, "radishpier_step_preempted_total", NULL,
+		      stats.preempted);
+	obs_count_set(metrics, "radishpier_step_copies_total", NULL,
+		      stats.copies);
+	obs_count_set(metrics, "radishpier_step_moved_total", NULL,
+		      stats.moved);
+	obs_count_set(metrics, "radishpier_step_commits_total", NULL,
+		      stats.commits);
+	update_histogram(metrics, "radishpier_step_first_start_ms_bucket",
+			 stats.first_start);
+	update_histogram(metrics, "radishpier_step_done_ms_bucket", stats.done);
+}
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -277,6 +277,8 @@
 };
 
 /* sched.c */
+/** Counts a time in a histogram. */
+void sch_observe(guint64 *buckets, gint64 ms);
 struct sch_effect *sch_effect_add(struct sch *s, enum sch_effect_kind kind);
 void sch_reply(struct sch *s, guint64 call_ref, guint status,
 	       Rp__JobState state, guint waiting, guint retry_after_s);
--- a/sched/job.c
+++ b/sched/job.c
@@ -316,6 +316,8 @@
 		G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "JOB_ID", job->id, "MESSAGE",
 		"job of queue %s is %s after %" G_GINT64_FORMAT " ms",
 		job->queue, names[state], s->now_ms - job->accepted_ms);
+	if (state == RP__JOB_STATE__JOB_STATE_DONE)
+		sch_observe(s->stats.done, s->now_ms - job->accepted_ms);
 	sch_job_stop_runs(s, job);
 	sch_job_urgent(s, job);
 	g_ptr_array_add(s->closing, job);
--- a/sched/run.c
+++ b/sched/run.c
@@ -102,6 +102,9 @@
 {
 	run->state = SCH_RUN_ORDERED;
 	run->state_ms = s->now_ms;
+	if (!run->task->job->started)
+		sch_observe(s->stats.first_start,
+			    s->now_ms - run->task->job->accepted_ms);
 	run->task->job->started = TRUE;
 	if (run->stopping) {
 		/* Never sent, so there is nothing to stop. */
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -2,6 +2,18 @@
 
 /* The reducer: events in, effects out. */
 
+const gint64 sch_bucket_ms[SCH_BUCKETS - 1] = { 100,   300,   1000,  3000,
+						10000, 30000, 100000 };
+
+void sch_observe(guint64 *buckets, gint64 ms)
+{
+	guint i = 0;
+
+	while (i < SCH_BUCKETS - 1 && ms > sch_bucket_ms[i])
+		i++;
+	buckets[i]++;
+}
+
 struct sch_effect *sch_effect_add(struct sch *s, enum sch_effect_kind kind)
 {
 	struct sch_effect effect = { .kind = kind };
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -125,8 +125,15 @@
 /** Frees what the effect owns. */
 void sch_effect_clear(struct sch_effect *effect);
 
-/** Figures for metrics and the status page. */
+/** Upper bounds of the histograms' buckets, ms; the last has none. */
+#define SCH_BUCKETS 8
+extern const gint64 sch_bucket_ms[SCH_BUCKETS - 1];
+
+/** Figures for metrics. */
 struct sch_stats {
+	/** From submission to the first start, and to the end as done. */
+	guint64 first_start[SCH_BUCKETS];
+	guint64 done[SCH_BUCKETS];
 	guint jobs_waiting;
 	guint jobs_running;
 	guint jobs_ended;
