sched: count a job as waiting until a task has begun

Change: begun means that the worker answered the start or lists the run. Test: test_ordered_job_still_waits, failed before.

--- a/sched/commit.c
+++ b/sched/commit.c
@@ -74,7 +74,7 @@
 	else if (!job->spec)
 		kv_txn_delete(txn, key);
 	if (!job->forgotten &&
-	    (job->started || sch_job_has_ended(job) || job->n_runs))
+	    (job->progressed || sch_job_has_ended(job)))
 		put_bytes(txn, SCH_PROGRESS_PREFIX, job->id,
 			  sch_record_progress(job));
 	job->sent = TRUE;
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -211,7 +211,10 @@
 	guint n_occurrences;
 	guint occurrences_left;
 	guint n_runs;
+	/** A task has begun on a worker, as far as is known. */
 	gboolean started;
+	/** A run was chosen, so there is progress to write. */
+	gboolean progressed;
 	gint64 accepted_ms;
 	gint64 ended_unix_ms;
 	/** The job's record exists in the store. */
@@ -326,6 +329,8 @@
 void sch_run_free(struct sch_run *run);
 void sch_run_stop(struct sch *s, struct sch_run *run);
 void sch_run_order(struct sch *s, struct sch_run *run);
+/** Takes note that the worker has begun the run. */
+void sch_run_began(struct sch *s, struct sch_run *run);
 struct sch_run *sch_run_find(const struct sch_vm *vm, const char *task,
 			     guint32 attempt);
 /** Takes note of an end that the worker lists. */
--- a/sched/record.c
+++ b/sched/record.c
@@ -127,7 +127,6 @@
 		vm->life_ms = 0;
 	run = sch_run_new(s, task, vm, place->attempt);
 	run->state = SCH_RUN_ORDERED;
-	task->job->started = TRUE;
 	/* A copy of a task that is done has been ordered to stop. */
 	run->stopping = task->done;
 	run->orphan = earlier;
@@ -149,7 +148,10 @@
 	task->failures = progress->failures;
 	if (*progress->checkpoint)
 		sch_task_set_checkpoint(task, progress->checkpoint);
-	job->started = TRUE;
+	job->progressed = TRUE;
+	/* Whether its runs have begun shows in the workers' lists. */
+	if (progress->done || progress->failures)
+		job->started = TRUE;
 	if (progress->done && !task->done) {
 		task->done = TRUE;
 		task->phase->n_done++;
--- a/sched/run.c
+++ b/sched/run.c
@@ -47,6 +47,7 @@
 	task->runs[task->n_runs++] = run;
 	task->attempts = MAX(task->attempts, attempt);
 	task->job->n_runs++;
+	task->job->progressed = TRUE;
 	g_ptr_array_add(vm->runs, run);
 	add_load(run, 1);
 	s->stats.runs++;
@@ -98,14 +99,22 @@
 	g_ptr_array_add(run->vm->stops, ref);
 }
 
+void sch_run_began(struct sch *s, struct sch_run *run)
+{
+	struct sch_job *job = run->task->job;
+
+	run->state = SCH_RUN_RUNNING;
+	run->state_ms = s->now_ms;
+	if (job->started)
+		return;
+	job->started = TRUE;
+	sch_observe(s->stats.first_start, s->now_ms - job->accepted_ms);
+}
+
 void sch_run_order(struct sch *s, struct sch_run *run)
 {
 	run->state = SCH_RUN_ORDERED;
 	run->state_ms = s->now_ms;
-	if (!run->task->job->started)
-		sch_observe(s->stats.first_start,
-			    s->now_ms - run->task->job->accepted_ms);
-	run->task->job->started = TRUE;
 	if (run->stopping) {
 		/* Never sent, so there is nothing to stop. */
 		sch_run_remove(s, run);
@@ -220,6 +229,11 @@
 {
 	struct sch_job *job = task->job;
 
+	if (run->state == SCH_RUN_ORDERED) {
+		sch_run_began(s, run);
+		/* It tells nothing of the duration. */
+		run->state = SCH_RUN_ORDERED;
+	}
 	sch_task_set_checkpoint(task, end->checkpoint);
 	if (end->kind == RP__RUN_END_KIND__RUN_END_DONE) {
 		note_duration(s, run);
--- a/sched/sched_test.c
+++ b/sched/sched_test.c
@@ -368,6 +368,37 @@
 }
 END_TEST
 
+/* Guards against jobs that are said to have begun when only their start was
+ * ordered (MIXED on deploy/days/reborn-workers.toml of jurado-andino). */
+START_TEST(test_ordered_job_still_waits)
+{
+	static const struct row running[] = {
+		{ "a.0.0.0", 1, RP__RUN_END_KIND__RUN_END_NONE, 0, 10, 0 },
+	};
+	struct leader l;
+	struct Rp__StepSpec step;
+	struct Rp__Resources need;
+	struct Rp__StepSpec *steps[] = { &step };
+
+	setup(&l);
+	add_vm(&l, "vm1");
+	init_step(&step, &need, 1, 1000);
+	submit(&l, "/q/a", steps, 1);
+	commit(&l);
+	ck_assert_uint_eq(orders_of(&l, FALSE), 1);
+	call(&l, RP__STEP_VERB__STEP_VERB_COUNT, "/q/", NULL);
+	ck_assert_uint_eq(l.waiting, 1);
+	call(&l, RP__STEP_VERB__STEP_VERB_STATE, "/q/a", NULL);
+	ck_assert_int_eq(l.state, RP__JOB_STATE__JOB_STATE_QUEUED);
+	report(&l, "vm1", 50, running, 1);
+	call(&l, RP__STEP_VERB__STEP_VERB_COUNT, "/q/", NULL);
+	ck_assert_uint_eq(l.waiting, 0);
+	call(&l, RP__STEP_VERB__STEP_VERB_STATE, "/q/a", NULL);
+	ck_assert_int_eq(l.state, RP__JOB_STATE__JOB_STATE_RUNNING);
+	teardown(&l);
+}
+END_TEST
+
 /* Guards against a cancelled job that goes on, or is told too early. */
 START_TEST(test_cancel)
 {
@@ -633,6 +664,7 @@
 	tcase_add_test(tcase, test_end_in_the_records_counts_once);
 	tcase_add_test(tcase, test_stale_leader_refuses);
 	tcase_add_test(tcase, test_only_unsent_jobs_are_refused);
+	tcase_add_test(tcase, test_ordered_job_still_waits);
 	tcase_add_test(tcase, test_cancel);
 	tcase_add_test(tcase, test_gang_is_all_or_none);
 	tcase_add_test(tcase, test_occurrences_wait_for_their_time);
--- a/sched/vm.c
+++ b/sched/vm.c
@@ -271,8 +271,7 @@
 			const struct Rp__RunRow *row)
 {
 	if (run->state == SCH_RUN_ORDERED) {
-		run->state = SCH_RUN_RUNNING;
-		run->state_ms = s->now_ms;
+		sch_run_began(s, run);
 		run->first_percent = row->percent;
 		run->first_percent_ms = s->now_ms;
 		g_ptr_array_remove(run->vm->starts, run);
@@ -392,10 +391,8 @@
 	if (!run)
 		return;
 	if (answer->started) {
-		if (run->state == SCH_RUN_ORDERED) {
-			run->state = SCH_RUN_RUNNING;
-			run->state_ms = s->now_ms;
-		}
+		if (run->state == SCH_RUN_ORDERED)
+			sch_run_began(s, run);
 		return;
 	}
 	g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "JOB_ID",
