sched: fail a job whose tasks failed too often before the table came

Change: the limit is checked where a task is placed, too. Test: test_failure_before_the_table, failed before (one start), passes now.

--- a/sched/commit.c
+++ b/sched/commit.c
@@ -73,8 +73,7 @@
 		put_bytes(txn, SCH_JOB_PREFIX, job->id, sch_record_job(job));
 	else if (!job->spec)
 		kv_txn_delete(txn, key);
-	if (!job->forgotten &&
-	    (job->progressed || sch_job_has_ended(job)))
+	if (!job->forgotten && (job->progressed || sch_job_has_ended(job)))
 		put_bytes(txn, SCH_PROGRESS_PREFIX, job->id,
 			  sch_record_progress(job));
 	job->sent = TRUE;
--- a/sched/place.c
+++ b/sched/place.c
@@ -81,6 +81,28 @@
 	g_array_append_val(candidates, c);
 }
 
+/*
+ * TRUE if a task has failed too often. The end that made it so may have come
+ * before the table that tells how often is too often.
+ */
+static gboolean is_exhausted(const struct sch_phase *phase,
+			     const struct sch_queue *queue)
+{
+	guint sum = 0;
+	guint i;
+
+	for (i = 0; !phase->step->lasts && i < phase->n_tasks; i++) {
+		const struct sch_task *task = &phase->tasks[i];
+
+		sum += task->failures;
+		if (!task->done &&
+		    task->failures >= MAX(queue->max_attempts, 1))
+			return TRUE;
+	}
+	return phase->step->gang && phase->n_done < phase->n_tasks &&
+	       sum >= MAX(queue->max_attempts, 1);
+}
+
 static void add_job(struct sch *s, GArray *candidates, struct sch_job *job)
 {
 	const struct sch_queue *queue = sch_queue_find(s, job->queue);
@@ -94,10 +116,17 @@
 	for (i = 0; i < job->n_occurrences; i++) {
 		struct sch_phase *phases = job->occurrences[i].phases;
 
-		for (k = 0; phases && k < job->spec->n_steps; k++)
-			if (phases[k].ready_ms && phases[k].n_idle)
-				add_candidate(s, candidates, &phases[k], queue,
-					      objective);
+		for (k = 0; phases && k < job->spec->n_steps; k++) {
+			if (!phases[k].ready_ms || !phases[k].n_idle)
+				continue;
+			if (is_exhausted(&phases[k], queue)) {
+				sch_job_end(s, job,
+					    RP__JOB_STATE__JOB_STATE_FAILED);
+				return;
+			}
+			add_candidate(s, candidates, &phases[k], queue,
+				      objective);
+		}
 	}
 }
 
@@ -352,13 +381,16 @@
 	s->place_due = FALSE;
 	s->placed_ms = s->now_ms;
 	candidates = g_array_new(FALSE, FALSE, sizeof(struct candidate));
-	for (i = 0; i < s->active->len; i++)
+	/* From the end: a job that fails is taken out. */
+	for (i = s->active->len; i-- > 0;)
 		add_job(s, candidates, s->active->pdata[i]);
 	g_array_sort(candidates, compare);
 	for (i = 0; i < candidates->len; i++) {
 		const struct candidate *c = &g_array_index(candidates,
 							   struct candidate, i);
 
+		if (sch_job_has_ended(c->phase->job))
+			continue;
 		if (c->phase->step->gang)
 			plan_gang(s, c->phase);
 		else
--- a/sched/sched_test.c
+++ b/sched/sched_test.c
@@ -318,6 +318,60 @@
 }
 END_TEST
 
+/* Guards against a start after too many failures, if the last of them is
+ * reported before the table (BUDGET on trouble-2 of hoshi-noden, seed
+ * 897510657399). */
+START_TEST(test_failure_before_the_table)
+{
+	static const struct row first[] = {
+		{ "a.0.0.0", 1, RP__RUN_END_KIND__RUN_END_FAILED, 1, 0, 0 },
+	};
+	static const struct row second[] = {
+		{ "a.0.0.0", 2, RP__RUN_END_KIND__RUN_END_FAILED, 2, 0, 0 },
+	};
+	struct sch_event tables = { .kind = SCH_EVENT_TABLES };
+	struct leader l;
+	struct leader next;
+	struct Rp__StepSpec step;
+	struct Rp__Resources need;
+	struct Rp__StepSpec *steps[] = { &step };
+	g_autoptr(GBytes) job = NULL;
+	g_autoptr(GBytes) progress = NULL;
+
+	setup(&l);
+	add_vm(&l, "vm1");
+	add_vm(&l, "vm2");
+	init_step(&step, &need, 1, 1000);
+	submit(&l, "/q/a", steps, 1);
+	commit(&l);
+	report(&l, task(&l, "a.0.0.0")->runs[0]->vm->name, 50, first, 1);
+	commit(&l);
+	ck_assert_uint_eq(task(&l, "a.0.0.0")->attempts, 2);
+	job = sch_record_job(g_hash_table_lookup(l.s->jobs, "a"));
+	progress = sch_record_progress(g_hash_table_lookup(l.s->jobs, "a"));
+	setup(&next);
+	g_ptr_array_unref(g_steal_pointer(&next.s->queues));
+	sch_load_job(next.s, "a", g_bytes_get_data(job, NULL),
+		     g_bytes_get_size(job));
+	sch_load_progress(next.s, "a", g_bytes_get_data(progress, NULL),
+			  g_bytes_get_size(progress), UNIX_MS);
+	add_vm(&next, "vm1");
+	add_vm(&next, "vm2");
+	report(&next, task(&next, "a.0.0.0")->runs[0]->vm->name, 50, second, 1);
+	ck_assert_uint_eq(task(&next, "a.0.0.0")->failures, 2);
+	clear(&next);
+	tables.queues = queues_new();
+	reduce(&next, &tables);
+	commit(&next);
+	ck_assert_uint_eq(orders_of(&next, FALSE), 0);
+	prove(&next);
+	call(&next, RP__STEP_VERB__STEP_VERB_STATE, "/q/a", NULL);
+	ck_assert_int_eq(next.state, RP__JOB_STATE__JOB_STATE_FAILED);
+	teardown(&l);
+	teardown(&next);
+}
+END_TEST
+
 /* Guards against answers by tables that may have been replaced. */
 START_TEST(test_stale_leader_refuses)
 {
@@ -662,6 +716,7 @@
 	g_log_set_writer_func(drop_log, NULL, NULL);
 	tcase_add_test(tcase, test_nothing_before_the_commit);
 	tcase_add_test(tcase, test_end_in_the_records_counts_once);
+	tcase_add_test(tcase, test_failure_before_the_table);
 	tcase_add_test(tcase, test_stale_leader_refuses);
 	tcase_add_test(tcase, test_only_unsent_jobs_are_refused);
 	tcase_add_test(tcase, test_ordered_job_still_waits);
