--- a/colo/colo.c
+++ b/colo/colo.c
@@ -93,6 +93,26 @@
 							    SLOPE_MAX);
 }
 
+void colo_foreach(const struct colo_table *table,
+		  void (*fn)(void *ctx, const char *serving,
+			     const char *filling, double slope),
+		  void *ctx)
+{
+	GHashTableIter iter;
+	gpointer key;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, table->pairs);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		const struct pair *pair = value;
+		const char *filling = strchr(key, '\n') + 1;
+		g_autofree char *serving =
+			g_strndup(key, (gsize)(filling - 1 - (char *)key));
+
+		fn(ctx, serving, filling, pair->slope);
+	}
+}
+
 double colo_stretch(const struct colo_table *table, const char *serving,
 		    const struct colo_use *uses, size_t n)
 {
--- a/colo/colo.h
+++ b/colo/colo.h
@@ -33,6 +33,12 @@
 gboolean colo_is_known(const struct colo_table *table, const char *serving,
 		       const char *filling);
 
+/** Calls fn for each pair that is known. */
+void colo_foreach(const struct colo_table *table,
+		  void (*fn)(void *ctx, const char *serving,
+			     const char *filling, double slope),
+		  void *ctx);
+
 /** Processors that the tasks of one filling image use on a VM. */
 struct colo_use {
 	const char *image;
--- a/runs/internal.h
+++ b/runs/internal.h
@@ -100,6 +100,8 @@
 	/** Task's name to struct runs_info. */
 	GHashTable *infos;
 	struct colo_table *colo;
+	/** A new leader was not told the slopes yet. */
+	gboolean pairs_due;
 	/** Lists that came since the last control of the pace. */
 	gboolean figures_due;
 	gint64 pace_ms;
--- a/runs/runs.c
+++ b/runs/runs.c
@@ -226,6 +226,7 @@
 	clear_messages(r->answers);
 	clear_messages(r->ended);
 	r->has_leader = TRUE;
+	r->pairs_due = TRUE;
 	r->fence = fence;
 	r->reported_end = 0;
 	r->lists_valid = FALSE;
@@ -272,6 +273,21 @@
 	return n;
 }
 
+static void add_pair(void *ctx, const char *serving, const char *filling,
+		     double slope)
+{
+	struct Rp__VmReport *body = ctx;
+	struct Rp__ImagePair *pair = g_malloc(sizeof(*pair));
+
+	rp__image_pair__init(pair);
+	wire_set_string(&pair->serving, serving);
+	wire_set_string(&pair->filling, filling);
+	pair->slope = slope;
+	body->pairs = g_renew(struct Rp__ImagePair *, body->pairs,
+			      body->n_pairs + 1);
+	body->pairs[body->n_pairs++] = pair;
+}
+
 static void report(struct runs *r)
 {
 	struct runs_effect effect = {
@@ -292,6 +308,9 @@
 		body->n_answers = take_messages(r->answers,
 						(void ***)&body->answers);
 	}
+	if (r->pairs_due)
+		colo_foreach(r->colo, add_pair, body);
+	r->pairs_due = FALSE;
 	if (r->lists_due && r->lists_valid) {
 		size_t i;
 
--- a/sched/interfere.c
+++ b/sched/interfere.c
@@ -100,6 +100,23 @@
 	}
 }
 
+void sch_interfere_take(struct sch *s, const struct Rp__VmReport *report)
+{
+	size_t i;
+
+	for (i = 0; i < report->n_pairs; i++) {
+		const struct Rp__ImagePair *pair = report->pairs[i];
+		double slope = pair->slope;
+
+		/* Agents know only some of the samples each. */
+		if (colo_is_known(s->colo, pair->serving, pair->filling))
+			slope = (slope + colo_slope(s->colo, pair->serving,
+						    pair->filling)) /
+				2;
+		colo_set_slope(s->colo, pair->serving, pair->filling, slope);
+	}
+}
+
 /* Processors that tasks which fill can use there. */
 static double unused_cpus(const struct sch_vm *vm)
 {
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -367,6 +367,8 @@
 /** Learns from the figures of a list. */
 void sch_interfere_learn(struct sch *s, struct sch_vm *vm,
 			 const struct Rp__VmReport *report);
+/** Takes over what an agent learned under earlier leaders. */
+void sch_interfere_take(struct sch *s, const struct Rp__VmReport *report);
 /** Share of its pace, 0 to 1, that a task that fills could have on the VM. */
 double sch_interfere_share(struct sch *s, const struct sch_vm *vm,
 			   const struct Rp__StepSpec *step);
--- a/sched/vm.c
+++ b/sched/vm.c
@@ -450,6 +450,7 @@
 		return;
 	vm->report_ms = s->now_ms;
 	vm->silent_ms = report->silent_ms;
+	sch_interfere_take(s, report);
 	if (!report->worker || !*report->worker->worker_id) {
 		vm->known = FALSE;
 		return;
--- a/wire/rp.pb-c.c
+++ b/wire/rp.pb-c.c
@@ -6265,7 +6265,7 @@
   (ProtobufCMessageInit) rp__run_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp__vm_report__field_descriptors[11] =
+static const ProtobufCFieldDescriptor rp__vm_report__field_descriptors[12] =
 {
   {
     "fence",
@@ -6399,6 +6399,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "pairs",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rp__VmReport, n_pairs),
+    offsetof(Rp__VmReport, pairs),
+    &rp__image_pair__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rp__vm_report__field_indices_by_name[] = {
   10,   /* field[10] = agent_up_ms */
@@ -6409,6 +6421,7 @@
   0,   /* field[0] = fence */
   9,   /* field[9] = lease_until_ms */
   3,   /* field[3] = listed */
+  11,   /* field[11] = pairs */
   4,   /* field[4] = running */
   7,   /* field[7] = silent_ms */
   1,   /* field[1] = worker */
@@ -6416,7 +6429,7 @@
 static const ProtobufCIntRange rp__vm_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor rp__vm_report__descriptor =
 {
@@ -6426,7 +6439,7 @@
   "Rp__VmReport",
   "rp",
   sizeof(Rp__VmReport),
-  11,
+  12,
   rp__vm_report__field_descriptors,
   rp__vm_report__field_indices_by_name,
   1,  rp__vm_report__number_ranges,
--- a/wire/rp.pb-c.h
+++ b/wire/rp.pb-c.h
@@ -1045,10 +1045,15 @@
    * How long this agent process has run. 
    */
   uint32_t agent_up_ms;
+  /*
+   * What the agent knows, for a new leader. 
+   */
+  size_t n_pairs;
+  Rp__ImagePair **pairs;
 };
 #define RP__VM_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rp__vm_report__descriptor) \
-    , 0, NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0 }
+    , 0, NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL }
 
 
 struct  Rp__StepSpec
