sched: in a flood, place filling steps by the work left

Change: steps that fill are placed by the core time left in their job. Test: test_flood_of_filling_tasks_by_work_left, 0 of 6 small jobs placed before, 6 after.

--- a/sched/place.c
+++ b/sched/place.c
@@ -4,10 +4,10 @@
  * Which step's tasks start next, and on which worker.
  *
  * Order: by the queue's priority; of one priority, first the steps whose job
- * can still meet its objective, the one with the least slack first, then the
- * late ones, the one with the least work left first. Answers the load in which
- * batch jobs queue for several times their length: by slack alone, each job
- * would wait until it is late.
+ * can still meet its objective, the one with the least slack first (tasks that
+ * fill: the least work), then the late ones, the one with the least work left
+ * first. Answers the load in which batch jobs queue for several times their
+ * length: by slack alone, each job would wait until it is late.
  */
 
 /** After this many times its objective a job is of little use. */
@@ -54,6 +54,18 @@
 	       queue->target_ms;
 }
 
+/*
+ * Core-milliseconds of a step that fills, to the job's end as if it went on as
+ * wide. When fills queue, the job with the least is done first: they get
+ * part of their pace only, so slack at full pace says little, and many small
+ * jobs are done in the time of a large one.
+ */
+static gint64 work_left(const struct sch_phase *phase)
+{
+	return phase->chain_ms * phase->n_tasks * phase->step->need->cpu_milli /
+	       1000;
+}
+
 static void add_candidate(struct sch *s, GArray *candidates,
 			  struct sch_phase *phase,
 			  const struct sch_queue *queue, gint64 objective)
@@ -70,10 +82,11 @@
 		c.order = phase->ready_ms;
 	} else if (slack_ms >= 0) {
 		c.urgency = URGENCY_IN_TIME;
-		c.order = slack_ms;
+		c.order = phase->step->fills ? work_left(phase) : slack_ms;
 	} else if (slack_ms + (HOPELESS_FACTOR - 1) * objective >= 0) {
 		c.urgency = URGENCY_LATE;
-		c.order = phase->chain_ms;
+		c.order = phase->step->fills ? work_left(phase)
+					     : phase->chain_ms;
 	} else {
 		c.urgency = URGENCY_HOPELESS;
 		c.order = from_ms;
--- a/sched/sched_test.c
+++ b/sched/sched_test.c
@@ -623,6 +623,43 @@
 }
 END_TEST
 
+/* Guards against small jobs that wait behind large ones in a flood of filling
+ * tasks: 6 small ones are done in the room of one large one. */
+START_TEST(test_flood_of_filling_tasks_by_work_left)
+{
+	struct leader l;
+	struct Rp__StepSpec large;
+	struct Rp__StepSpec small;
+	struct Rp__Resources need[2];
+	struct Rp__StepSpec *large_steps[] = { &large };
+	struct Rp__StepSpec *small_steps[] = { &small };
+	guint small_runs = 0;
+	guint i;
+
+	setup(&l);
+	init_step(&large, &need[0], 6, 5000);
+	large.fills = TRUE;
+	init_step(&small, &need[1], 1, 1500);
+	small.fills = TRUE;
+	submit(&l, "/q/large", large_steps, 1);
+	for (i = 0; i < 6; i++) {
+		g_autofree char *path = g_strdup_printf("/q/small%u", i);
+
+		submit(&l, path, small_steps, 1);
+	}
+	commit(&l);
+	add_vm(&l, "vm1");
+	commit(&l);
+	for (i = 0; i < 6; i++) {
+		g_autofree char *name = g_strdup_printf("small%u.0.0.0", i);
+
+		small_runs += task(&l, name)->n_runs;
+	}
+	ck_assert_uint_eq(small_runs, 6);
+	teardown(&l);
+}
+END_TEST
+
 /* Guards against a job that stands still although there is room (LOST on
  * trouble-2 of jurado-andino, seed 411062794018). */
 START_TEST(test_starved_filling_task_starts_anywhere)
@@ -779,6 +816,7 @@
 	tcase_add_test(tcase, test_occurrences_wait_for_their_time);
 	tcase_add_test(tcase, test_short_tasks_before_lasting_ones);
 	tcase_add_test(tcase, test_filling_task_avoids_what_it_slows);
+	tcase_add_test(tcase, test_flood_of_filling_tasks_by_work_left);
 	tcase_add_test(tcase, test_starved_filling_task_starts_anywhere);
 	tcase_add_test(tcase, test_lost_vm_waits_for_the_lease);
 	tcase_add_test(tcase, test_agent_tells_the_lease_of_a_silent_worker);
