cell: own the contexts of calls under way

Cause: contexts of calls to the service that were under way at the end, and of listeners, were leaked (LeakSanitizer on cell_test, 17 objects). Change: the store keeps them in a set; listeners take their owner directly. After: cell_test is clean under ASan and UBSan.

--- a/cell/agent.c
+++ b/cell/agent.c
@@ -1,7 +1,5 @@
 #include "internal.h"
 
-#include <event2/listener.h>
-
 /* The agent: carries the leader's orders to the worker of its VM. */
 
 struct cell_agent {
@@ -64,7 +62,9 @@
 	reduce(ctx, &ev);
 }
 
-static void on_accept(void *ctx, evutil_socket_t fd)
+static void on_accept(struct evconnlistener *listener G_GNUC_UNUSED,
+		      evutil_socket_t fd, struct sockaddr *addr G_GNUC_UNUSED,
+		      int len G_GNUC_UNUSED, void *ctx)
 {
 	struct cell_agent *agent = ctx;
 
--- a/cell/cell_test.c
+++ b/cell/cell_test.c
@@ -198,6 +198,7 @@
 		g_free(g_array_index(cell->runs, struct run, i).task);
 	g_array_unref(cell->runs);
 	fake_clear(&cell->kv);
+	event_base_free(cell->base);
 }
 
 static void pass(struct cell *cell, int ms)
--- a/cell/conn.c
+++ b/cell/conn.c
@@ -201,43 +201,23 @@
 	return conn->heard_ms;
 }
 
-struct listen_ctx {
-	void (*on_accept)(void *ctx, evutil_socket_t fd);
-	void *ctx;
-};
-
-static void on_accept(struct evconnlistener *listener G_GNUC_UNUSED,
-		      evutil_socket_t fd, struct sockaddr *addr G_GNUC_UNUSED,
-		      int len G_GNUC_UNUSED, void *arg)
-{
-	struct listen_ctx *ctx = arg;
-
-	ctx->on_accept(ctx->ctx, fd);
-}
-
 struct evconnlistener *cell_listen(struct event_base *base, const char *address,
-				   void (*accept_fn)(void *ctx,
-						     evutil_socket_t fd),
-				   void *ctx, GError **error)
+				   evconnlistener_cb on_accept, void *ctx,
+				   GError **error)
 {
 	struct sockaddr_storage addr;
 	int len = sizeof(addr);
 	struct evconnlistener *listener = NULL;
-	struct listen_ctx *listen_ctx = g_new0(struct listen_ctx, 1);
 
-	listen_ctx->on_accept = accept_fn;
-	listen_ctx->ctx = ctx;
 	if (!evutil_parse_sockaddr_port(address, (struct sockaddr *)&addr,
 					&len))
 		listener = evconnlistener_new_bind(
-			base, on_accept, listen_ctx,
+			base, on_accept, ctx,
 			LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
 			(struct sockaddr *)&addr, len);
-	if (!listener) {
+	if (!listener)
 		g_set_error(error, CELL_ERROR, CELL_ERROR_ADDRESS,
 			    "cannot listen on %s: %s", address,
 			    g_strerror(errno));
-		g_free(listen_ctx);
-	}
 	return listener;
 }
--- a/cell/entry.c
+++ b/cell/entry.c
@@ -1,7 +1,5 @@
 #include "internal.h"
 
-#include <event2/listener.h>
-
 /* The entry: passes callers' calls to the leader, or leads itself. */
 
 /** Calls on their way to the leader; more are refused at once. */
@@ -105,7 +103,9 @@
 	copy.fn(copy.ctx, frame->step_reply);
 }
 
-static void on_accept(void *ctx, evutil_socket_t fd)
+static void on_accept(struct evconnlistener *listener G_GNUC_UNUSED,
+		      evutil_socket_t fd, struct sockaddr *addr G_GNUC_UNUSED,
+		      int len G_GNUC_UNUSED, void *ctx)
 {
 	struct cell_entry *entry = ctx;
 
--- a/cell/fake_kv_test.h
+++ b/cell/fake_kv_test.h
@@ -30,6 +30,8 @@
 	int lose_txns;
 	gboolean down;
 	GQueue watches;
+	/** Of struct fake_call, under way. */
+	GQueue open;
 	struct kv_calls calls;
 };
 
@@ -116,6 +118,15 @@
 		fake_notify(fake, key);
 }
 
+static inline void fake_free_call(struct fake_call *call)
+{
+	g_queue_remove(&call->fake->open, call);
+	if (call->pairs)
+		g_ptr_array_unref(call->pairs);
+	event_free(call->timer);
+	g_free(call);
+}
+
 static inline void fake_answer(evutil_socket_t fd G_GNUC_UNUSED,
 			       short what G_GNUC_UNUSED, void *arg)
 {
@@ -137,10 +148,7 @@
 			       call->revision, error);
 	else
 		call->lease_fn(call->ctx, call->lease, error ? 0 : 1000, error);
-	if (call->pairs)
-		g_ptr_array_unref(call->pairs);
-	event_free(call->timer);
-	g_free(call);
+	fake_free_call(call);
 }
 
 static inline struct fake_call *fake_call_new(struct fake_kv *fake, void *ctx)
@@ -150,6 +158,7 @@
 
 	call->fake = fake;
 	call->ctx = ctx;
+	g_queue_push_tail(&fake->open, call);
 	call->lost = fake->down;
 	call->timer = evtimer_new(fake->base, fake_answer, call);
 	evtimer_add(call->timer, &delay);
@@ -326,10 +335,13 @@
 					    fake_free_item);
 	fake->leases = g_hash_table_new(NULL, NULL);
 	g_queue_init(&fake->watches);
+	g_queue_init(&fake->open);
 }
 
 static inline void fake_clear(struct fake_kv *fake)
 {
+	while (fake->open.head)
+		fake_free_call(fake->open.head->data);
 	g_hash_table_unref(fake->items);
 	g_hash_table_unref(fake->leases);
 }
--- a/cell/internal.h
+++ b/cell/internal.h
@@ -3,6 +3,8 @@
 
 #include <string.h>
 
+#include <event2/listener.h>
+
 #include "../net/net.h"
 #include "cell.h"
 
@@ -47,11 +49,9 @@
 gint64 cell_conn_heard_ms(const struct cell_conn *conn);
 
 /** Listens for frames; returns NULL with CELL_ERROR. */
-struct evconnlistener;
 struct evconnlistener *cell_listen(struct event_base *base, const char *address,
-				   void (*on_accept)(void *ctx,
-						     evutil_socket_t fd),
-				   void *ctx, GError **error);
+				   evconnlistener_cb on_accept, void *ctx,
+				   GError **error);
 
 /* follow.c: the connection of the leader that a process obeys. */
 struct cell_follow {
--- a/cell/store.c
+++ b/cell/store.c
@@ -83,6 +83,8 @@
 	gboolean resigned;
 	/** Counts terms, so that answers of earlier ones are not used. */
 	guint term;
+	/** Contexts of calls under way; owned. */
+	GHashTable *open;
 	struct store_watch watches[N_WATCHES];
 };
 
@@ -90,6 +92,8 @@
 struct call_ctx {
 	struct cell_store *store;
 	guint term;
+	/** Of a read for a watch. */
+	struct store_watch *watch;
 };
 
 static struct call_ctx *call_ctx_new(struct cell_store *store)
@@ -98,9 +102,17 @@
 
 	ctx->store = store;
 	ctx->term = store->term;
+	g_hash_table_add(store->open, ctx);
 	return ctx;
 }
 
+/* Ends the call; TRUE if it was sent in an earlier term. */
+static gboolean is_stale(struct call_ctx *ctx)
+{
+	g_hash_table_steal(ctx->store->open, ctx);
+	return ctx->term != ctx->store->term;
+}
+
 static void stop_watches(struct cell_store *store)
 {
 	size_t i;
@@ -150,7 +162,7 @@
 	struct cell_store *store = ctx->store;
 	guint i;
 
-	if (ctx->term != store->term)
+	if (is_stale(ctx))
 		return;
 	store->busy = FALSE;
 	if (error) {
@@ -201,7 +213,7 @@
 	g_autofree char *text = NULL;
 	gsize len;
 
-	if (ctx->term != store->term)
+	if (is_stale(ctx))
 		return;
 	store->busy = FALSE;
 	if (error)
@@ -233,7 +245,7 @@
 	g_autofree struct call_ctx *ctx = arg;
 	struct cell_store *store = ctx->store;
 
-	if (ctx->term != store->term)
+	if (is_stale(ctx))
 		return;
 	store->busy = FALSE;
 	if (result && result->succeeded) {
@@ -256,7 +268,7 @@
 	g_autoptr(GBytes) value = NULL;
 	struct kv_txn *txn;
 
-	if (ctx->term != store->term)
+	if (is_stale(ctx))
 		return;
 	if (error) {
 		store->busy = FALSE;
@@ -291,7 +303,7 @@
 	g_autofree struct call_ctx *ctx = arg;
 	struct cell_store *store = ctx->store;
 
-	if (ctx->term != store->term)
+	if (is_stale(ctx))
 		return;
 	if (g_error_matches(error, KV_ERROR, KV_ERROR_NO_LEASE))
 		depose(store, "its lease has ended");
@@ -306,7 +318,7 @@
 	struct cell_store *store = ctx->store;
 	const struct kv_pair *pair;
 
-	if (ctx->term != store->term)
+	if (is_stale(ctx))
 		return;
 	store->proving = FALSE;
 	if (error) {
@@ -364,7 +376,7 @@
 	g_autofree char *value = NULL;
 	gsize len;
 
-	if (ctx->term != store->term || !store->txn)
+	if (is_stale(ctx) || !store->txn)
 		return;
 	if (error) {
 		store->txn_sent = FALSE;
@@ -390,7 +402,7 @@
 	g_autofree struct call_ctx *ctx = arg;
 	struct cell_store *store = ctx->store;
 
-	if (ctx->term != store->term || !store->txn)
+	if (is_stale(ctx) || !store->txn)
 		return;
 	if (error) {
 		g_info("transaction %" G_GUINT64_FORMAT " is sent again: %s",
@@ -459,22 +471,17 @@
 	watch->next_ms = watch->store->now_ms + RETRY_MS;
 }
 
-struct watch_ctx {
-	struct store_watch *watch;
-	guint term;
-};
-
 static void on_watch_read(void *arg, const GPtrArray *pairs, gint64 revision,
 			  const GError *error)
 {
-	g_autofree struct watch_ctx *ctx = arg;
+	g_autofree struct call_ctx *ctx = arg;
 	struct store_watch *watch = ctx->watch;
-	struct cell_store *store = watch->store;
+	struct cell_store *store = ctx->store;
 	const char *prefix = watch->what == WATCH_NODES ? CELL_NODE_PREFIX
 							: store->tables_key;
 	guint i;
 
-	if (ctx->term != store->term)
+	if (is_stale(ctx))
 		return;
 	watch->reading = FALSE;
 	if (error) {
@@ -491,14 +498,13 @@
 static void run_watch(struct store_watch *watch)
 {
 	struct cell_store *store = watch->store;
-	struct watch_ctx *ctx;
+	struct call_ctx *ctx;
 
 	if (watch->read || watch->reading || store->now_ms < watch->next_ms)
 		return;
 	watch->reading = TRUE;
-	ctx = g_new0(struct watch_ctx, 1);
+	ctx = call_ctx_new(store);
 	ctx->watch = watch;
-	ctx->term = store->term;
 	store->kv->ops->range(store->kv,
 			      watch->what == WATCH_NODES ? CELL_NODE_PREFIX
 							 : store->tables_key,
@@ -534,6 +540,7 @@
 	store->name = g_strdup(options->name);
 	store->tables_key = g_strdup(options->tables_key);
 	store->handler = options->handler;
+	store->open = g_hash_table_new_full(NULL, NULL, g_free, NULL);
 	for (i = 0; i < N_WATCHES; i++) {
 		store->watches[i].store = store;
 		store->watches[i].what = (enum watched)i;
@@ -546,6 +553,7 @@
 	stop_watches(store);
 	if (store->txn)
 		kv_txn_free(store->txn);
+	g_hash_table_unref(store->open);
 	g_free(store->candidacy);
 	g_free(store->name);
 	g_free(store->tables_key);
