--- /dev/null
+++ b/sched/model_test.h
@@ -0,0 +1,459 @@
+#ifndef SCHED_MODEL_TEST_H
+#define SCHED_MODEL_TEST_H
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../runs/runs.h"
+#include "internal.h"
+
+/*
+ * The worker of model_test.c, what is checked when it begins a run, and the
+ * state of the whole model.
+ */
+
+#define VMS 5
+#define STEP_MS 10
+#define RUN_MS 40000
+#define HEAL_MS 70000
+#define LEASE_MS 7000
+#define AUTHORITY_MS 4000
+#define GROUP_OPS 29
+#define CAPACITY_MILLI 8000
+#define MAX_ATTEMPTS 3
+#define STOP_MS 100
+#define DEFAULT_SEEDS 60
+
+struct model_run {
+	char *task;
+	guint32 attempt;
+	gint64 begins_ms;
+	gint64 ends_ms;
+	/** When a stop takes effect; 0 for none. */
+	gint64 stops_ms;
+	Rp__RunEndKind outcome;
+	gint64 cpu_milli;
+};
+
+struct model_end {
+	guint64 number;
+	char *task;
+	guint32 attempt;
+	Rp__RunEndKind kind;
+	/** The lease lapsed before it was confirmed, so it counts for nothing.
+	 */
+	gboolean lapsed;
+};
+
+struct model_worker {
+	gboolean up;
+	gint64 back_ms;
+	guint64 born_ms;
+	gint64 lease_ms;
+	guint64 fence;
+	guint64 next_end;
+	guint64 acked;
+	GPtrArray *runs;
+	GPtrArray *ends;
+	/** task to the highest attempt that ended or was stopped here. */
+	GHashTable *closed;
+};
+
+/** A call to a worker on its way, or its answer. */
+struct model_call {
+	struct runs_call *call;
+	int vm;
+	gint64 at_ms;
+	/** The life of the agent that sent it, and of the worker it went to:
+	 * calls under way end with their process. */
+	guint agent_life;
+	guint64 born_ms;
+	gboolean answered;
+	/** Carried out without an answer. */
+	gboolean mute;
+	gint64 timeout_ms;
+	gboolean timed_out;
+};
+
+struct model_frame {
+	struct Rp__Frame *frame;
+	gint64 at_ms;
+	int vm;
+	gboolean to_agent;
+	guint link_life;
+	guint leader;
+};
+
+struct model_vm {
+	struct runs *runs;
+	guint agent_life;
+	gint64 agent_back_ms;
+	struct model_worker worker;
+	/** Leader that the agent obeys; its index. */
+	guint leader;
+};
+
+struct model_leader {
+	struct sch *sch;
+	guint64 fence;
+	gboolean elected;
+	gint64 ends_ms;
+	struct kv_txn *txn;
+	gint64 txn_ms;
+	gboolean connected[VMS];
+	guint link_life[VMS];
+	gint64 link_next_ms[VMS];
+	gint64 proof_ms;
+};
+
+struct job_check {
+	struct Rp__StepJob *spec;
+	gboolean accepted;
+	gboolean refused;
+	gint64 cancelled_ms;
+	Rp__JobState shown;
+	guint64 ref;
+};
+
+struct model {
+	GRand *rand;
+	guint32 seed;
+	gint64 now_ms;
+	gboolean calm;
+	struct model_vm vms[VMS];
+	struct model_leader leaders[3];
+	guint n_leaders;
+	guint current;
+	gint64 next_leader_ms;
+	guint64 revision;
+	GHashTable *store;
+	GPtrArray *calls;
+	GPtrArray *frames;
+	GHashTable *jobs;
+	/** Tasks that ended as done and whose end was confirmed. */
+	GHashTable *done;
+	/** Task to the number of its failed ends that were confirmed. */
+	GHashTable *failed;
+	/** Tasks that ended as done anywhere. */
+	GHashTable *ended_done;
+	guint64 next_ref;
+	guint starts;
+	guint64 events;
+};
+
+static gboolean chance(struct model *m, double p)
+{
+	return !m->calm && g_rand_double(m->rand) < p;
+}
+
+static void free_run(gpointer data)
+{
+	struct model_run *run = data;
+
+	g_free(run->task);
+	g_free(run);
+}
+
+static void free_end(gpointer data)
+{
+	struct model_end *end = data;
+
+	g_free(end->task);
+	g_free(end);
+}
+
+static void worker_init(struct model *m, struct model_worker *w)
+{
+	w->up = TRUE;
+	w->born_ms = (guint64)m->now_ms + 1000000;
+	w->lease_ms = 0;
+	w->fence = 0;
+	w->next_end = 1;
+	w->acked = 0;
+	w->runs = g_ptr_array_new_with_free_func(free_run);
+	w->ends = g_ptr_array_new_with_free_func(free_end);
+	w->closed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					  NULL);
+}
+
+static void worker_clear(struct model_worker *w)
+{
+	g_ptr_array_unref(w->runs);
+	g_ptr_array_unref(w->ends);
+	g_hash_table_unref(w->closed);
+}
+
+/* The worker's own clock: it starts with its life and is 2 % slow. */
+static gint64 worker_clock(const struct model *m, const struct model_worker *w)
+{
+	return 1000 + (m->now_ms + 1000000 - (gint64)w->born_ms) * 98 / 100;
+}
+
+static struct job_check *job_of(struct model *m, const char *task, guint *step)
+{
+	g_auto(GStrv) parts = g_strsplit(task, ".", -1);
+
+	ck_assert_uint_eq(g_strv_length(parts), 4);
+	*step = (guint)atoi(parts[2]);
+	return g_hash_table_lookup(m->jobs, parts[0]);
+}
+
+static void check_order(struct model *m, const char *id,
+			const struct Rp__StepJob *spec, guint step)
+{
+	const struct Rp__StepSpec *s = spec->steps[step];
+	size_t i;
+	guint k;
+
+	for (i = 0; i < s->n_after; i++) {
+		const struct Rp__StepSpec *before = spec->steps[s->after[i]];
+		guint ended = 0;
+
+		for (k = 0; k < before->replicas; k++) {
+			g_autofree char *name = g_strdup_printf(
+				"%s.0.%u.%u", id, s->after[i], k);
+
+			if (g_hash_table_contains(m->ended_done, name))
+				ended++;
+		}
+		/* The end of one member of a gang stands for all. */
+		ck_assert_msg(ended == before->replicas ||
+				      (before->gang && ended),
+			      "seed %u: step %u of %s began before step %u",
+			      m->seed, step, id, s->after[i]);
+	}
+}
+
+/* What must hold when a worker begins a run. */
+static void check_start(struct model *m, int vm, const char *task,
+			gint64 cpu_milli)
+{
+	g_auto(GStrv) parts = g_strsplit(task, ".", -1);
+	gint64 used = cpu_milli;
+	guint step;
+	struct job_check *job = job_of(m, task, &step);
+	guint i;
+	int v;
+
+	ck_assert_msg(job != NULL, "%s was never submitted", task);
+	ck_assert_msg(!job->refused, "%s was refused", task);
+	ck_assert_msg(!g_hash_table_contains(m->done, task),
+		      "seed %u: %s began after its end was confirmed", m->seed,
+		      task);
+	ck_assert_msg(GPOINTER_TO_UINT(g_hash_table_lookup(m->failed, task)) <
+			      MAX_ATTEMPTS,
+		      "seed %u: %s began after too many failures", m->seed,
+		      task);
+	check_order(m, parts[0], job->spec, step);
+	for (v = 0; v < VMS; v++) {
+		struct model_worker *w = &m->vms[v].worker;
+
+		for (i = 0; w->up && i < w->runs->len; i++) {
+			struct model_run *run = w->runs->pdata[i];
+
+			if (v == vm)
+				used += run->cpu_milli;
+			ck_assert_msg(strcmp(run->task, task) != 0,
+				      "seed %u: %s runs on %d and %d", m->seed,
+				      task, v, vm);
+		}
+	}
+	ck_assert_msg(used <= CAPACITY_MILLI, "seed %u: vm %d has %d milli",
+		      m->seed, vm, (int)used);
+	m->starts++;
+}
+
+static void end_run(struct model *m, struct model_worker *w, guint index,
+		    Rp__RunEndKind kind)
+{
+	struct model_run *run = w->runs->pdata[index];
+	struct model_end *end = g_new0(struct model_end, 1);
+	guint32 closed =
+		GPOINTER_TO_UINT(g_hash_table_lookup(w->closed, run->task));
+
+	end->number = w->next_end++;
+	end->task = g_strdup(run->task);
+	end->attempt = run->attempt;
+	end->kind = kind;
+	if (kind == RP__RUN_END_KIND__RUN_END_DONE)
+		g_hash_table_add(m->ended_done, g_strdup(run->task));
+	g_hash_table_insert(w->closed, g_strdup(run->task),
+			    GUINT_TO_POINTER(MAX(closed, run->attempt)));
+	g_ptr_array_add(w->ends, end);
+	g_ptr_array_remove_index(w->runs, index);
+}
+
+static void worker_tick(struct model *m, struct model_worker *w)
+{
+	guint i = 0;
+
+	if (!w->up) {
+		if (m->now_ms >= w->back_ms) {
+			worker_clear(w);
+			worker_init(m, w);
+		}
+		return;
+	}
+	if (worker_clock(m, w) > w->lease_ms)
+		for (i = 0; i < w->ends->len; i++)
+			((struct model_end *)w->ends->pdata[i])->lapsed = TRUE;
+	i = 0;
+	while (i < w->runs->len) {
+		struct model_run *run = w->runs->pdata[i];
+
+		if (worker_clock(m, w) > w->lease_ms)
+			end_run(m, w, i, RP__RUN_END_KIND__RUN_END_LAPSED);
+		else if (run->stops_ms && m->now_ms >= run->stops_ms)
+			end_run(m, w, i, RP__RUN_END_KIND__RUN_END_STOPPED);
+		else if (m->now_ms >= run->ends_ms)
+			end_run(m, w, i, run->outcome);
+		else
+			i++;
+	}
+}
+
+static enum runs_outcome worker_start(struct model *m, int vm,
+				      const struct runs_call *call,
+				      const char **reason)
+{
+	struct model_worker *w = &m->vms[vm].worker;
+	guint32 closed =
+		GPOINTER_TO_UINT(g_hash_table_lookup(w->closed, call->task));
+	guint step;
+	struct job_check *job = job_of(m, call->task, &step);
+	struct model_run *run;
+	guint i;
+
+	for (i = 0; i < w->runs->len; i++) {
+		run = w->runs->pdata[i];
+		if (strcmp(run->task, call->task))
+			continue;
+		if (run->attempt == call->attempt)
+			return RUNS_OK;
+		*reason = "old";
+		return RUNS_REFUSED;
+	}
+	if (closed >= call->attempt) {
+		*reason = "old";
+		return RUNS_REFUSED;
+	}
+	if (call->lease_until_ms <= worker_clock(m, w)) {
+		*reason = "late";
+		return RUNS_REFUSED;
+	}
+	ck_assert_ptr_nonnull(job);
+	check_start(m, vm, call->task, job->spec->steps[step]->need->cpu_milli);
+	run = g_new0(struct model_run, 1);
+	run->task = g_strdup(call->task);
+	run->attempt = call->attempt;
+	run->begins_ms = m->now_ms;
+	run->ends_ms = m->now_ms + g_rand_int_range(m->rand, 200, 2500);
+	run->outcome = g_rand_double(m->rand) < 0.05
+			       ? RP__RUN_END_KIND__RUN_END_FAILED
+			       : RP__RUN_END_KIND__RUN_END_DONE;
+	run->cpu_milli = job->spec->steps[step]->need->cpu_milli;
+	g_ptr_array_add(w->runs, run);
+	return RUNS_OK;
+}
+
+static void worker_stop(struct model *m, struct model_worker *w,
+			const struct runs_call *call)
+{
+	guint32 closed =
+		GPOINTER_TO_UINT(g_hash_table_lookup(w->closed, call->task));
+	guint i;
+
+	for (i = 0; i < w->runs->len; i++) {
+		struct model_run *run = w->runs->pdata[i];
+
+		if (!strcmp(run->task, call->task) &&
+		    run->attempt <= call->attempt && !run->stops_ms)
+			run->stops_ms = m->now_ms + STOP_MS;
+	}
+	g_hash_table_insert(w->closed, g_strdup(call->task),
+			    GUINT_TO_POINTER(MAX(closed, call->attempt)));
+}
+
+static void worker_ack(struct model *m, struct model_worker *w, guint64 through)
+{
+	guint i = 0;
+
+	while (i < w->ends->len) {
+		struct model_end *end = w->ends->pdata[i];
+
+		if (end->number > through) {
+			i++;
+			continue;
+		}
+		if (end->lapsed) {
+			g_ptr_array_remove_index(w->ends, i);
+			continue;
+		}
+		if (end->kind == RP__RUN_END_KIND__RUN_END_DONE)
+			g_hash_table_add(m->done, g_strdup(end->task));
+		if (end->kind == RP__RUN_END_KIND__RUN_END_FAILED) {
+			guint n = GPOINTER_TO_UINT(
+				g_hash_table_lookup(m->failed, end->task));
+
+			g_hash_table_insert(m->failed, g_strdup(end->task),
+					    GUINT_TO_POINTER(n + 1));
+		}
+		g_ptr_array_remove_index(w->ends, i);
+	}
+}
+
+static void fill_lists(struct model *m, struct model_worker *w,
+		       struct runs_answer *answer)
+{
+	guint i;
+
+	answer->clock_ms = worker_clock(m, w);
+	answer->born_ms = w->born_ms;
+	answer->n_running = w->runs->len;
+	answer->running = g_new0(struct Rp__RunRow *, w->runs->len + 1);
+	for (i = 0; i < w->runs->len; i++) {
+		const struct model_run *run = w->runs->pdata[i];
+		struct Rp__RunRow *row = g_malloc(sizeof(*row));
+		struct Rp__RunName *name = g_malloc(sizeof(*name));
+
+		rp__run_row__init(row);
+		rp__run_name__init(name);
+		wire_set_string(&name->task, run->task);
+		name->attempt = run->attempt;
+		row->run = name;
+		row->percent = (guint32)((m->now_ms - run->begins_ms) * 100 /
+					 MAX(run->ends_ms - run->begins_ms, 1));
+		answer->running[i] = row;
+	}
+	answer->n_ended = w->ends->len;
+	answer->ended = g_new0(struct Rp__RunEnd *, w->ends->len + 1);
+	for (i = 0; i < w->ends->len; i++) {
+		const struct model_end *end = w->ends->pdata[i];
+		struct Rp__RunEnd *row = g_malloc(sizeof(*row));
+		struct Rp__RunName *name = g_malloc(sizeof(*name));
+
+		rp__run_end__init(row);
+		rp__run_name__init(name);
+		wire_set_string(&name->task, end->task);
+		name->attempt = end->attempt;
+		row->run = name;
+		row->number = end->number;
+		row->kind = end->kind;
+		answer->ended[i] = row;
+	}
+}
+
+static void free_lists(struct runs_answer *answer)
+{
+	size_t i;
+
+	for (i = 0; i < answer->n_running; i++)
+		rp__run_row__free_unpacked(answer->running[i], NULL);
+	for (i = 0; i < answer->n_ended; i++)
+		rp__run_end__free_unpacked(answer->ended[i], NULL);
+	g_free(answer->running);
+	g_free(answer->ended);
+}
+
+#endif
