sched, runs: call a worker's start-to-end an incarnation; look a queue up once

The field's term in place of a private one. Choosing a worker looks the queue up once instead of once a worker, and no longer reads a queue that the operators have removed (a held-up task of a removed route would have crashed the leader).

--- a/colo/colo.c
+++ b/colo/colo.c
@@ -148,8 +148,8 @@
 		return;
 	weight = stretch < DISTURBED_STRETCH ? BASE_WEIGHT
 					     : BASE_WEIGHT_DISTURBED;
-	if (serving->told_base > 0)
-		serving->base = serving->told_base;
+	if (serving->sibling_base > 0)
+		serving->base = serving->sibling_base;
 	else if (serving->base <= 0)
 		serving->base = MIN(ratio, BASE_UNKNOWN);
 	error = 1 - serving->base / ratio - stretch;
@@ -170,7 +170,7 @@
 				    0, SLOPE_MAX);
 	}
 	/* What the others do not explain is the task's own load. */
-	if (stretch < 1 && serving->told_base <= 0)
+	if (stretch < 1 && serving->sibling_base <= 0)
 		serving->base += weight * (MIN(ratio * (1 - stretch), 1.0) -
 					   serving->base);
 }
--- a/colo/colo.h
+++ b/colo/colo.h
@@ -55,7 +55,7 @@
 	 * Own latency as others tell it: the least of the tasks that share the
 	 * load with this one; 0 if there are none.
 	 */
-	double told_base;
+	double sibling_base;
 };
 
 /** Stretch of the serving image by the uses, 0 for none. */
--- a/colo/colo_test.c
+++ b/colo/colo_test.c
@@ -24,7 +24,7 @@
 			{ "harmless", harmless },
 		};
 
-		serving.told_base = 0.3;
+		serving.sibling_base = 0.3;
 		colo_learn(table, &serving, "web", latency(0.3, 0.08 * guilty),
 			   uses, 2);
 	}
@@ -45,7 +45,7 @@
 	for (i = 0; i < 200; i++) {
 		double load = 0.3 + 0.3 * (i % 28) / 28;
 
-		serving.told_base = load;
+		serving.sibling_base = load;
 		colo_learn(table, &serving, "web", load, uses, 1);
 	}
 	ck_assert_double_lt(colo_slope(table, "web", "fill"), 0.005);
--- a/runs/hold.c
+++ b/runs/hold.c
@@ -25,7 +25,8 @@
 		return;
 	call = runs_call_new(r, RUNS_CALL_HOLD, HOLD_WAIT_MS + HOLD_TIMEOUT_MS);
 	call->ended_through = r->ended_through;
-	/* Another life may answer: lease and ends of this one are not for it.
+	/* Another incarnation may answer: lease and ends of this one are not
+	 * for it.
 	 */
 	if (!r->verified) {
 		call->lease_until_ms = 0;
@@ -103,7 +104,7 @@
 		return TRUE;
 	}
 	r->holds_lost = 0;
-	/* The next heartbeat describes the worker that lives here now. */
+	/* The next heartbeat describes the worker that runs here now. */
 	if (answer->born_ms && r->worker->born_ms &&
 	    answer->born_ms != r->worker->born_ms) {
 		r->verified = FALSE;
--- a/runs/internal.h
+++ b/runs/internal.h
@@ -62,7 +62,7 @@
 	guint64 ended_through;
 	gint64 clock_ms;
 	gint64 clock_at_ms;
-	/** Longest lease that this life was sent. */
+	/** Longest lease that this incarnation was sent. */
 	gint64 lease_sent_ms;
 	/** When this process began. */
 	gint64 began_ms;
@@ -74,7 +74,7 @@
 	gint64 hold_ms;
 	gint64 next_hold_ms;
 	guint holds_lost;
-	/** The last hold was answered by the life that is known. */
+	/** The last hold was answered by the incarnation that is known. */
 	gboolean verified;
 	/** Highest end that this leader was told. */
 	guint64 reported_end;
--- a/runs/runs.c
+++ b/runs/runs.c
@@ -1,6 +1,6 @@
 #include "internal.h"
 
-/* The reducer, the worker's lives and the reports to the leader. */
+/* The reducer, the worker's incarnations and the reports to the leader. */
 
 /** A report is sent at least so often, so that the leader sees the VM. */
 #define REPORT_INTERVAL_MS 1000
@@ -135,10 +135,10 @@
 }
 
 /*
- * Starts that were sent may have reached the next life, which then runs them:
- * they are undone there. Nothing else of an earlier life holds.
+ * Starts that were sent may have reached the next incarnation, which then runs
+ * them: they are undone there. Nothing else of an earlier incarnation holds.
  */
-static void forget_life(struct runs *r)
+static void forget_incarnation(struct runs *r)
 {
 	guint i = 0;
 
@@ -187,9 +187,9 @@
 		return;
 	if (!same) {
 		g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "MESSAGE",
-				 "worker %s of pool %s lives here",
+				 "worker %s of pool %s runs here",
 				 worker->worker_id, worker->pool);
-		forget_life(r);
+		forget_incarnation(r);
 	}
 	if (!same || worker->draining != r->worker->draining)
 		r->report_due = TRUE;
@@ -232,7 +232,7 @@
 	r->lists_valid = FALSE;
 	r->listed_ms = 0;
 	/* A hold under way was sent under the earlier fence; without its
-	 * answer, the worker may have begun another life. */
+	 * answer, the worker may have begun another incarnation. */
 	r->hold_call = 0;
 	r->verified = FALSE;
 	r->next_hold_ms = 0;
@@ -258,7 +258,7 @@
 			g_hash_table_lookup(r->infos, orders->bases[i]->task);
 
 		if (info)
-			info->serving.told_base = orders->bases[i]->ratio;
+			info->serving.sibling_base = orders->bases[i]->ratio;
 	}
 	runs_orders_take(r, orders);
 }
--- a/runs/runs.h
+++ b/runs/runs.h
@@ -61,7 +61,7 @@
 	const char *reason;
 	/** Reading of the worker's clock; 0 for none. */
 	gint64 clock_ms;
-	/** Life of the worker that answered; 0 if it did not tell. */
+	/** Incarnation of the worker that answered; 0 if it did not tell. */
 	guint64 born_ms;
 	/** Of a hold. */
 	struct Rp__RunRow **running;
--- a/runs/runs_test.c
+++ b/runs/runs_test.c
@@ -212,8 +212,8 @@
 }
 END_TEST
 
-/* Guards against a lease and confirmations that reach the next life. */
-START_TEST(test_unverified_life_gets_nothing)
+/* Guards against a lease and confirmations that reach the next incarnation. */
+START_TEST(test_unverified_incarnation_gets_nothing)
 {
 	struct agent a;
 	struct runs_call *c;
@@ -264,8 +264,8 @@
 }
 END_TEST
 
-/* Guards against orders for a life that has ended. */
-START_TEST(test_orders_for_another_life_are_dropped)
+/* Guards against orders for an incarnation that has ended. */
+START_TEST(test_orders_for_another_incarnation_are_dropped)
 {
 	struct agent a;
 
@@ -285,10 +285,10 @@
 
 	tcase_add_test(tcase, test_start_without_answer_is_undone);
 	tcase_add_test(tcase, test_refused_start_is_never_sent_again);
-	tcase_add_test(tcase, test_unverified_life_gets_nothing);
+	tcase_add_test(tcase, test_unverified_incarnation_gets_nothing);
 	tcase_add_test(tcase, test_draining_worker_starts_nothing);
 	tcase_add_test(tcase, test_lower_fence_is_not_obeyed);
-	tcase_add_test(tcase, test_orders_for_another_life_are_dropped);
+	tcase_add_test(tcase, test_orders_for_another_incarnation_are_dropped);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_NORMAL);
--- a/sched/interfere.c
+++ b/sched/interfere.c
@@ -92,7 +92,7 @@
 		run->serving.ratio = (double)row->figure /
 				     run->task->phase->step->target_ms;
 		run->figure_ms = s->now_ms;
-		run->serving.told_base = least_ratio(s, run->task->phase);
+		run->serving.sibling_base = least_ratio(s, run->task->phase);
 		colo_learn(
 			s->colo, &run->serving, run->task->phase->step->image,
 			(double)row->figure / run->task->phase->step->target_ms,
@@ -200,7 +200,7 @@
 
 	rp__serving_base__init(base);
 	wire_set_string(&base->task, run->name);
-	base->ratio = run->serving.told_base;
+	base->ratio = run->serving.sibling_base;
 	orders->bases = g_renew(struct Rp__ServingBase *, orders->bases,
 				orders->n_bases + 1);
 	orders->bases[orders->n_bases++] = base;
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -17,7 +17,7 @@
 #define SCH_MAX_PAYLOAD_BYTES 4000
 
 /** Longest lease that a worker takes, whatever it is told, and the time that
- * an order to a life that has ended may be under way. */
+ * an order to an incarnation that has ended may be under way. */
 #define SCH_LONGEST_LEASE_MS 10000
 #define SCH_ORDER_MS 1500
 
@@ -33,20 +33,21 @@
 	gint64 accelerators;
 };
 
-/** A worker, and the VM that it lives on. */
+/** A worker, and the VM that it runs on. */
 struct sch_vm {
 	/** Of the agent. */
 	char *name;
 	gboolean connected;
-	/** One life of the worker: its id and the time of its start. */
+	/** Incarnation of the worker: its id and the time of its start. */
 	char *worker_id;
 	guint64 born_ms;
-	/** When this life was first heard of, or the election if it was young
-	 * then; 0 if it was not. */
-	gint64 life_ms;
-	/** The agent has described this life to this leader. */
+	/** When this incarnation was first heard of, or the election if it was
+	 * young then; 0 if it was not. */
+	gint64 incarnation_ms;
+	/** The agent has described this incarnation to this leader. */
 	gboolean known;
-	/** Lists of this life were read under this fence and connection. */
+	/** Lists of this incarnation were read under this fence and connection.
+	 */
 	gboolean synced;
 	/** They were read under this fence, so no earlier leader is obeyed. */
 	gboolean adopted;
@@ -71,7 +72,7 @@
 	gint64 report_ms;
 	/** How long the worker has not answered its agent, when reported. */
 	gint64 silent_ms;
-	/** Runs of this life; owned. */
+	/** Runs of this incarnation; owned. */
 	GPtrArray *runs;
 	/** Listed runs that no record names, by name; they are stopped. */
 	GHashTable *strangers;
@@ -124,8 +125,8 @@
 	gboolean committing;
 	gboolean stopping;
 	/**
-	 * It was ordered to an earlier life of the worker. The agent may have
-	 * sent it to this one before it knew.
+	 * It was ordered to an earlier incarnation of the worker. The agent may
+	 * have sent it to this one before it knew.
 	 */
 	gboolean orphan;
 	/** The worker refuses the start as outdated; its end may be listed. */
@@ -344,16 +345,16 @@
 void sch_vm_down(struct sch *s, const char *name);
 void sch_vm_report(struct sch *s, const char *name,
 		   const struct Rp__VmReport *report);
-/** Begins another life of the worker; its runs are orphans then. */
-void sch_vm_set_life(struct sch *s, struct sch_vm *vm, const char *worker_id,
-		     guint64 born_ms);
+/** Begins another incarnation of the worker; its runs are orphans then. */
+void sch_vm_set_incarnation(struct sch *s, struct sch_vm *vm,
+			    const char *worker_id, guint64 born_ms);
 /** Loses the runs of workers whose leases have certainly ended. */
 void sch_vm_expire(struct sch *s);
 void sch_vm_send_orders(struct sch *s);
 gboolean sch_vm_is_usable(const struct sch *s, const struct sch_vm *vm);
 gboolean sch_vm_has_label(const struct sch_vm *vm, const char *label);
 void sch_vm_fault(struct sch *s, struct sch_vm *vm, struct sch_job *job);
-void sch_vm_forgive(struct sch_vm *vm);
+void sch_vm_clear_faults(struct sch_vm *vm);
 
 /* place.c */
 void sch_place(struct sch *s);
--- a/sched/model_test.c
+++ b/sched/model_test.c
@@ -16,7 +16,7 @@
 
 	answer->call_id = c->call->id;
 	if (!c->mute && !c->timed_out && m->vms[c->vm].runs &&
-	    m->vms[c->vm].agent_life == c->agent_life)
+	    m->vms[c->vm].agent_epoch == c->agent_epoch)
 		agent_reduce(m, c->vm, &ev);
 }
 
@@ -113,7 +113,7 @@
 	f->vm = vm;
 	f->leader = leader;
 	f->to_agent = to_agent;
-	f->link_life = m->leaders[leader].link_life[vm];
+	f->link_epoch = m->leaders[leader].link_epoch[vm];
 	f->at_ms = m->now_ms + STEP_MS;
 	g_ptr_array_add(m->frames, f);
 }
@@ -139,7 +139,7 @@
 		c = g_new0(struct model_call, 1);
 		c->call = e->call;
 		c->vm = vm;
-		c->agent_life = m->vms[vm].agent_life;
+		c->agent_epoch = m->vms[vm].agent_epoch;
 		c->born_ms = m->vms[vm].worker.born_ms;
 		c->at_ms = m->now_ms + STEP_MS + e->call->wait_ms / 5;
 		c->timeout_ms = m->now_ms + e->call->timeout_ms;
@@ -286,7 +286,7 @@
 		return;
 	for (v = 0; v < VMS; v++) {
 		l->connected[v] = FALSE;
-		l->link_life[v]++;
+		l->link_epoch[v]++;
 	}
 	if (l->txn)
 		kv_txn_free(l->txn);
@@ -376,7 +376,7 @@
 static void agent_start(struct model *m, int vm)
 {
 	m->vms[vm].runs = runs_new();
-	m->vms[vm].agent_life++;
+	m->vms[vm].agent_epoch++;
 }
 
 static void agent_stop(struct model *m, int vm)
@@ -392,7 +392,7 @@
 		if (!m->leaders[i].sch || !m->leaders[i].connected[vm])
 			continue;
 		m->leaders[i].connected[vm] = FALSE;
-		m->leaders[i].link_life[vm]++;
+		m->leaders[i].link_epoch[vm]++;
 		ev.vm = name;
 		leader_reduce(m, i, &ev);
 	}
@@ -437,11 +437,11 @@
 					  .vm = name };
 
 		m->leaders[old].connected[vm] = FALSE;
-		m->leaders[old].link_life[vm]++;
+		m->leaders[old].link_epoch[vm]++;
 		leader_reduce(m, old, &down);
 	}
 	l->connected[vm] = TRUE;
-	l->link_life[vm]++;
+	l->link_epoch[vm]++;
 	v->leader = leader;
 	ev.vm = name;
 	leader_reduce(m, leader, &ev);
@@ -456,7 +456,7 @@
 		struct model_frame *f = m->frames->pdata[i];
 		struct model_leader *l = &m->leaders[f->leader];
 		gboolean live = l->sch && l->connected[f->vm] &&
-				l->link_life[f->vm] == f->link_life;
+				l->link_epoch[f->vm] == f->link_epoch;
 		g_autofree char *name = g_strdup_printf("vm%d", f->vm);
 
 		if (m->now_ms < f->at_ms) {
@@ -510,7 +510,7 @@
 			if (!l->sch || !l->connected[vm])
 				continue;
 			l->connected[vm] = FALSE;
-			l->link_life[vm]++;
+			l->link_epoch[vm]++;
 			l->link_next_ms[vm] =
 				m->now_ms + g_rand_int_range(m->rand, 0, 9000);
 			ev.vm = name;
--- a/sched/model_test.h
+++ b/sched/model_test.h
@@ -65,9 +65,9 @@
 	struct runs_call *call;
 	int vm;
 	gint64 at_ms;
-	/** The life of the agent that sent it, and of the worker it went to:
-	 * calls under way end with their process. */
-	guint agent_life;
+	/** The incarnation of the agent that sent it, and of the worker it went
+	 * to: calls under way end with their process. */
+	guint agent_epoch;
 	guint64 born_ms;
 	gboolean answered;
 	/** Carried out without an answer. */
@@ -81,13 +81,13 @@
 	gint64 at_ms;
 	int vm;
 	gboolean to_agent;
-	guint link_life;
+	guint link_epoch;
 	guint leader;
 };
 
 struct model_vm {
 	struct runs *runs;
-	guint agent_life;
+	guint agent_epoch;
 	gint64 agent_back_ms;
 	struct model_worker worker;
 	/** Leader that the agent obeys; its index. */
@@ -102,7 +102,7 @@
 	struct kv_txn *txn;
 	gint64 txn_ms;
 	gboolean connected[VMS];
-	guint link_life[VMS];
+	guint link_epoch[VMS];
 	gint64 link_next_ms[VMS];
 	gint64 proof_ms;
 };
@@ -184,7 +184,7 @@
 	g_hash_table_unref(w->closed);
 }
 
-/* The worker's own clock: it starts with its life and is 2 % slow. */
+/* The worker's own clock: it starts with its incarnation and is 2 % slow. */
 static gint64 worker_clock(const struct model *m, const struct model_worker *w)
 {
 	return 1000 + (m->now_ms + 1000000 - (gint64)w->born_ms) * 98 / 100;
--- a/sched/place.c
+++ b/sched/place.c
@@ -184,12 +184,12 @@
 }
 
 static gboolean may_run(const struct sch *s, const struct sch_vm *vm,
-			const struct sch_task *task, const char *rack)
+			const struct sch_task *task, const char *pool,
+			const char *rack)
 {
 	const struct Rp__StepSpec *step = task->phase->step;
-	const struct sch_queue *queue = sch_queue_find(s, task->job->queue);
 
-	if (!sch_vm_is_usable(s, vm) || strcmp(vm->pool, queue->pool) ||
+	if (!sch_vm_is_usable(s, vm) || strcmp(vm->pool, pool) ||
 	    (rack && g_strcmp0(vm->rack, rack)) ||
 	    (*step->label && !sch_vm_has_label(vm, step->label)) ||
 	    (task->n_runs && task->runs[0]->vm == vm))
@@ -258,18 +258,21 @@
 static struct sch_vm *choose(struct sch *s, const struct sch_task *task,
 			     const char *rack)
 {
+	const struct sch_queue *queue = sch_queue_find(s, task->job->queue);
 	GHashTableIter iter;
 	gpointer value;
 	struct sch_vm *best = NULL;
 	double best_score = 0;
 
+	if (!queue)
+		return NULL;
 	g_hash_table_iter_init(&iter, s->vms);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct sch_vm *vm = value;
 		double points;
 
 		if (!has_room(vm, task->phase->step) ||
-		    !may_run(s, vm, task, rack))
+		    !may_run(s, vm, task, queue->pool, rack))
 			continue;
 		points = score(s, vm, task);
 		if (task->phase->step->fills) {
@@ -415,13 +418,14 @@
 			      double share)
 {
 	const struct sch_task *task = run->task;
+	const struct sch_queue *queue = sch_queue_find(s, task->job->queue);
 	GHashTableIter iter;
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, s->vms);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
+	while (queue && g_hash_table_iter_next(&iter, NULL, &value))
 		if (has_room(value, task->phase->step) &&
-		    may_run(s, value, task, NULL) &&
+		    may_run(s, value, task, queue->pool, NULL) &&
 		    sch_interfere_share(s, value, task->phase->step) >= share)
 			return TRUE;
 	return FALSE;
--- a/sched/record.c
+++ b/sched/record.c
@@ -122,9 +122,10 @@
 	if (!earlier &&
 	    (!vm->worker_id || place->worker_born_ms != vm->born_ms ||
 	     strcmp(vm->worker_id, place->worker_id) != 0))
-		sch_vm_set_life(s, vm, place->worker_id, place->worker_born_ms);
+		sch_vm_set_incarnation(s, vm, place->worker_id,
+				       place->worker_born_ms);
 	if (s->unix_ms > (gint64)vm->born_ms + SCH_YOUNG_MS)
-		vm->life_ms = 0;
+		vm->incarnation_ms = 0;
 	run = sch_run_new(s, task, vm, place->attempt);
 	run->state = SCH_RUN_ORDERED;
 	/* A copy of a task that is done has been ordered to stop. */
--- a/sched/run.c
+++ b/sched/run.c
@@ -237,7 +237,7 @@
 	sch_task_set_checkpoint(task, end->checkpoint);
 	if (end->kind == RP__RUN_END_KIND__RUN_END_DONE) {
 		note_duration(s, run);
-		sch_vm_forgive(vm);
+		sch_vm_clear_faults(vm);
 	}
 	sch_run_remove(s, run);
 	if (sch_job_has_ended(job))
--- a/sched/sched_test.c
+++ b/sched/sched_test.c
@@ -704,7 +704,7 @@
 	init_step(&step, &need, 1, 1000);
 	submit(&l, "/q/a", steps, 1);
 	commit(&l);
-	/* Longer than leases of an earlier life can last. */
+	/* Longer than leases of an earlier incarnation can last. */
 	for (i = 0; i < 15; i++) {
 		running.percent++;
 		tick(&l, 1000);
--- a/sched/vm.c
+++ b/sched/vm.c
@@ -1,12 +1,12 @@
 #include "internal.h"
 
 /*
- * What is known of each worker: its life, its lease and what it runs.
+ * What is known of each worker: its incarnation, its lease and what it runs.
  *
- * A run is over if its end is listed, if the worker has begun another life, or
- * if its lease has certainly ended. The last is judged on the worker's own
- * clock: a reading c that arrived at time t means that the clock shows at
- * least c + 0.98 (now - t).
+ * A run is over if its end is listed, if the worker has begun another
+ * incarnation, or if its lease has certainly ended. The last is judged on the
+ * worker's own clock: a reading c that arrived at time t means that the clock
+ * shows at least c + 0.98 (now - t).
  */
 
 /** Rate of the slowest worker's clock. */
@@ -100,7 +100,8 @@
 			 vm->worker_id, why);
 }
 
-/* Runs that were not ordered yet are dropped: the next life may be smaller. */
+/* Runs that were not ordered yet are dropped: the next incarnation may be
+ * smaller. */
 static void orphan_runs(struct sch *s, struct sch_vm *vm)
 {
 	guint i = 0;
@@ -120,15 +121,15 @@
 	}
 }
 
-void sch_vm_set_life(struct sch *s, struct sch_vm *vm, const char *worker_id,
-		     guint64 born_ms)
+void sch_vm_set_incarnation(struct sch *s, struct sch_vm *vm,
+			    const char *worker_id, guint64 born_ms)
 {
 	if (vm->worker_id)
 		orphan_runs(s, vm);
 	g_free(vm->worker_id);
 	vm->worker_id = g_strdup(worker_id);
 	vm->born_ms = born_ms;
-	vm->life_ms = s->now_ms;
+	vm->incarnation_ms = s->now_ms;
 	vm->known = FALSE;
 	vm->synced = FALSE;
 	vm->adopted = FALSE;
@@ -201,7 +202,7 @@
 		avoid_ms, vm->faults);
 }
 
-void sch_vm_forgive(struct sch_vm *vm)
+void sch_vm_clear_faults(struct sch_vm *vm)
 {
 	vm->faults = 0;
 	vm->fault_job = NULL;
@@ -238,9 +239,9 @@
 	vm->known = TRUE;
 }
 
-/* Returns FALSE if the report is of an earlier life. */
-static gboolean take_life(struct sch *s, struct sch_vm *vm,
-			  const struct Rp__WorkerInfo *info)
+/* Returns FALSE if the report is of an earlier incarnation. */
+static gboolean take_incarnation(struct sch *s, struct sch_vm *vm,
+				 const struct Rp__WorkerInfo *info)
 {
 	gboolean same = vm->worker_id && vm->born_ms == info->born_ms &&
 			!strcmp(vm->worker_id, info->worker_id);
@@ -248,7 +249,7 @@
 	if (!same && vm->worker_id && info->born_ms < vm->born_ms)
 		return FALSE;
 	if (!same)
-		sch_vm_set_life(s, vm, info->worker_id, info->born_ms);
+		sch_vm_set_incarnation(s, vm, info->worker_id, info->born_ms);
 	if (info->gone) {
 		lose_runs(s, vm, "the worker has left");
 		vm->known = FALSE;
@@ -455,7 +456,7 @@
 		vm->known = FALSE;
 		return;
 	}
-	if (!take_life(s, vm, report->worker))
+	if (!take_incarnation(s, vm, report->worker))
 		return;
 	take_clock(s, vm, report);
 	for (i = 0; i < report->n_ended; i++)
@@ -476,10 +477,12 @@
 				 lease_ms + LEASE_SLACK_MS;
 	gint64 clock_ms;
 
-	/* The agent may have sent a lease of the life before to this one. */
-	if (vm->life_ms && s->now_ms <= vm->life_ms + SCH_ORDER_MS +
-						(gint64)(SCH_LONGEST_LEASE_MS /
-							 CLOCK_RATE_MIN))
+	/* The agent may have sent a lease of the incarnation before to this
+	 * one. */
+	if (vm->incarnation_ms &&
+	    s->now_ms <=
+		    vm->incarnation_ms + SCH_ORDER_MS +
+			    (gint64)(SCH_LONGEST_LEASE_MS / CLOCK_RATE_MIN))
 		return FALSE;
 	/* Until its lists are read, earlier leaders may have extended it. */
 	if ((!vm->adopted || !vm->lease_until_ms) &&
--- a/wire/rp.pb-c.h
+++ b/wire/rp.pb-c.h
@@ -1015,7 +1015,7 @@
   ProtobufCMessage base;
   uint64_t fence;
   /*
-   * The worker that lives on the VM; none if it is gone or not known. 
+   * The worker of the VM; none if it is gone or not known. 
    */
   Rp__WorkerInfo *worker;
   int64_t clock_ms;
