--- a/sched/sched_test.c
+++ b/sched/sched_test.c
@@ -597,6 +597,7 @@
 
 	init_step(&step, &need, 1, 4000);
 	step.fills = TRUE;
+	step.checkpoints = TRUE;
 	step.image = (char *)"fill";
 	submit(l, path, steps, 1);
 }
@@ -660,6 +661,36 @@
 }
 END_TEST
 
+/* Guards against a crash, or a start, when a route with work is removed. */
+START_TEST(test_removed_queue)
+{
+	struct sch_event tables = { .kind = SCH_EVENT_TABLES };
+	struct row running = { "f.0.0.0", 1,  RP__RUN_END_KIND__RUN_END_NONE,
+			       0,	  10, 0 };
+	struct leader l;
+	guint i;
+
+	setup(&l);
+	add_vm(&l, "vm1");
+	submit_fill(&l, "/q/f");
+	submit_fill(&l, "/q/g");
+	commit(&l);
+	tables.queues = g_ptr_array_new();
+	reduce(&l, &tables);
+	submit_fill(&l, "/q/h");
+	ck_assert_uint_eq(l.status, 404);
+	clear(&l);
+	for (i = 0; i < 40; i++) {
+		running.percent++;
+		prove(&l);
+		report(&l, "vm1", 50, &running, 1);
+		commit(&l);
+	}
+	ck_assert_uint_eq(orders_of(&l, FALSE), 0);
+	teardown(&l);
+}
+END_TEST
+
 /* Guards against a job that stands still although there is room (LOST on
  * trouble-2 of jurado-andino, seed 411062794018). */
 START_TEST(test_starved_filling_task_starts_anywhere)
@@ -817,6 +848,7 @@
 	tcase_add_test(tcase, test_short_tasks_before_lasting_ones);
 	tcase_add_test(tcase, test_filling_task_avoids_what_it_slows);
 	tcase_add_test(tcase, test_flood_of_filling_tasks_by_work_left);
+	tcase_add_test(tcase, test_removed_queue);
 	tcase_add_test(tcase, test_starved_filling_task_starts_anywhere);
 	tcase_add_test(tcase, test_lost_vm_waits_for_the_lease);
 	tcase_add_test(tcase, test_agent_tells_the_lease_of_a_silent_worker);
