wire, net, cell: one copy of clock, message copies, run names and beats

They are now net_now_ms(), wire_message_dup(), wire_run_name_new() and cell_conn_send_beat(). Removed, as nothing read them: cell_conn_set_ctx(), two fields. Behaviour is unchanged.

--- a/cell/agent.c
+++ b/cell/agent.c
@@ -17,7 +17,7 @@
 {
 	guint i;
 
-	ev->now_ms = cell_now_ms();
+	ev->now_ms = net_now_ms();
 	runs_reduce(agent->runs, ev, agent->effects);
 	if (agent->reducing)
 		return;
@@ -76,7 +76,7 @@
 {
 	struct cell_agent *agent = arg;
 	struct runs_event ev = { .kind = RUNS_EVENT_TICK };
-	gint64 now_ms = cell_now_ms();
+	gint64 now_ms = net_now_ms();
 
 	cell_follow_tick(&agent->follow, now_ms);
 	cell_register_tick(&agent->reg, now_ms, agent->follow.conn != NULL);
--- a/cell/cell.h
+++ b/cell/cell.h
@@ -26,9 +26,6 @@
 #define CELL_RECORDS_PREFIX "radishpier/step-"
 #define CELL_NODE_PREFIX "radishpier/node/"
 
-/** Time of the boot clock, ms; it does not stop while the VM is suspended. */
-gint64 cell_now_ms(void);
-
 /** Reads the operators' table; returns queues, or NULL with error set. */
 typedef GPtrArray *(*cell_tables_fn)(void *ctx, GBytes *document,
 				     GError **error);
--- a/cell/cell_test.c
+++ b/cell/cell_test.c
@@ -1,6 +1,7 @@
 #include <check.h>
 #include <stdlib.h>
 
+#include "../net/net.h"
 #include "../standin/port.h"
 #include "cell.h"
 #include "fake_kv_test.h"
@@ -60,7 +61,7 @@
 
 static void fill_lists(struct cell *cell, struct runs_answer *answer)
 {
-	gint64 now_ms = cell_now_ms();
+	gint64 now_ms = net_now_ms();
 	guint i;
 
 	answer->running = g_new0(struct Rp__RunRow *, cell->runs->len + 1);
@@ -97,12 +98,12 @@
 	struct cell *cell = ctx;
 	struct runs_answer answer = {
 		.call_id = call->id,
-		.clock_ms = cell_now_ms(),
+		.clock_ms = net_now_ms(),
 		.born_ms = 77,
 	};
 	struct run run = {
 		.attempt = call->attempt,
-		.ends_ms = cell_now_ms() + RUN_MS,
+		.ends_ms = net_now_ms() + RUN_MS,
 	};
 	size_t i;
 
--- a/cell/conn.c
+++ b/cell/conn.c
@@ -29,14 +29,6 @@
 	guint busy;
 };
 
-gint64 cell_now_ms(void)
-{
-	struct timespec ts;
-
-	clock_gettime(CLOCK_BOOTTIME, &ts);
-	return (gint64)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
-}
-
 static void destroy(struct cell_conn *conn)
 {
 	bufferevent_free(conn->bev);
@@ -76,7 +68,7 @@
 	struct cell_conn *conn = arg;
 	struct evbuffer *input = bufferevent_get_input(bev);
 
-	conn->heard_ms = cell_now_ms();
+	conn->heard_ms = net_now_ms();
 	conn->busy++;
 	while (!conn->closed) {
 		g_autoptr(GError) error = NULL;
@@ -105,7 +97,7 @@
 		setsockopt(bufferevent_getfd(bev), IPPROTO_TCP, TCP_NODELAY,
 			   &one, sizeof(one));
 		bufferevent_set_timeouts(bev, NULL, NULL);
-		conn->heard_ms = cell_now_ms();
+		conn->heard_ms = net_now_ms();
 		conn->busy++;
 		conn->handler->on_connect(conn->ctx, conn);
 		leave(conn);
@@ -124,7 +116,7 @@
 	conn->bev = bev;
 	conn->handler = handler;
 	conn->ctx = ctx;
-	conn->heard_ms = cell_now_ms();
+	conn->heard_ms = net_now_ms();
 	bufferevent_setcb(bev, on_read, NULL, on_event, conn);
 	bufferevent_enable(bev, EV_READ | EV_WRITE);
 	return conn;
@@ -177,11 +169,6 @@
 	return conn_new(bev, handler, ctx);
 }
 
-void cell_conn_set_ctx(struct cell_conn *conn, void *ctx)
-{
-	conn->ctx = ctx;
-}
-
 void cell_conn_send(struct cell_conn *conn, const struct Rp__Frame *frame)
 {
 	struct evbuffer *output = bufferevent_get_output(conn->bev);
@@ -196,6 +183,15 @@
 		g_warning("frame dropped: %s", error->message);
 }
 
+void cell_conn_send_beat(struct cell_conn *conn, guint64 fence)
+{
+	struct Rp__Frame *frame = wire_frame_new(RP__FRAME__BODY_NODE_BEAT);
+
+	frame->node_beat->fence = fence;
+	cell_conn_send(conn, frame);
+	wire_frame_free(frame);
+}
+
 gint64 cell_conn_heard_ms(const struct cell_conn *conn)
 {
 	return conn->heard_ms;
--- a/cell/entry.c
+++ b/cell/entry.c
@@ -190,15 +190,11 @@
 
 static void beat(struct cell_entry *entry, gint64 now_ms)
 {
-	struct Rp__Frame *frame;
-
 	if (now_ms < entry->beat_ms + CELL_BEAT_MS)
 		return;
 	entry->beat_ms = now_ms;
-	frame = wire_frame_new(RP__FRAME__BODY_NODE_BEAT);
-	frame->node_beat->fence = entry->follow.fence;
-	cell_follow_send(&entry->follow, frame);
-	wire_frame_free(frame);
+	if (entry->follow.conn)
+		cell_conn_send_beat(entry->follow.conn, entry->follow.fence);
 }
 
 static void expire_calls(struct cell_entry *entry, gint64 now_ms)
@@ -222,7 +218,7 @@
 		    void *arg)
 {
 	struct cell_entry *entry = arg;
-	gint64 now_ms = cell_now_ms();
+	gint64 now_ms = net_now_ms();
 	gboolean in_touch = entry->follow.conn != NULL;
 
 	cell_follow_tick(&entry->follow, now_ms);
@@ -315,7 +311,7 @@
 	pending->fn = fn;
 	pending->ctx = ctx;
 	pending->verb = call->verb;
-	pending->until_ms = cell_now_ms() + MAX(timeout_ms - CALL_MARGIN_MS, 1);
+	pending->until_ms = net_now_ms() + MAX(timeout_ms - CALL_MARGIN_MS, 1);
 	g_hash_table_insert(entry->pending, id, pending);
 	body.call_id = *id;
 	frame.body_case = RP__FRAME__BODY_STEP_CALL;
--- a/cell/internal.h
+++ b/cell/internal.h
@@ -41,8 +41,9 @@
 struct cell_conn *cell_conn_accept(struct event_base *base, evutil_socket_t fd,
 				   const struct cell_conn_handler *handler,
 				   void *ctx);
-void cell_conn_set_ctx(struct cell_conn *conn, void *ctx);
 void cell_conn_send(struct cell_conn *conn, const struct Rp__Frame *frame);
+/** Sends a NodeBeat. */
+void cell_conn_send_beat(struct cell_conn *conn, guint64 fence);
 /** Closes without a call of on_close; safe within on_frame. */
 void cell_conn_close(struct cell_conn *conn);
 /** When the last bytes came. */
@@ -57,7 +58,6 @@
 struct cell_follow {
 	struct cell_conn *conn;
 	guint64 fence;
-	gint64 heard_ms;
 	GPtrArray *unknown;
 	struct event_base *base;
 	void (*on_leader)(void *ctx, guint64 fence);
--- a/cell/lead.c
+++ b/cell/lead.c
@@ -143,7 +143,7 @@
 {
 	guint i;
 
-	ev->now_ms = cell_now_ms();
+	ev->now_ms = net_now_ms();
 	ev->unix_ms = unix_ms();
 	sch_reduce(lead->sch, ev, lead->effects);
 	if (lead->reducing)
@@ -178,7 +178,7 @@
 
 	node->connected = TRUE;
 	node->dial_wait_ms = DIAL_MS;
-	node->reached_ms = cell_now_ms();
+	node->reached_ms = net_now_ms();
 	g_info("reached %s at %s", node->name, node->address);
 	greet(node);
 	if (node->role == CELL_ROLE_AGENT)
@@ -192,7 +192,7 @@
 
 	node->connected = FALSE;
 	node->conn = NULL;
-	node->dial_ms = cell_now_ms() + node->dial_wait_ms;
+	node->dial_ms = net_now_ms() + node->dial_wait_ms;
 	node->dial_wait_ms = MIN(node->dial_wait_ms * 2, DIAL_MAX_MS);
 	if (!was_connected)
 		return;
@@ -236,7 +236,7 @@
 	struct open_call *open;
 	struct sch_event ev = { .kind = SCH_EVENT_REPORT, .vm = node->name };
 
-	node->reached_ms = cell_now_ms();
+	node->reached_ms = net_now_ms();
 	switch (frame->body_case) {
 	case RP__FRAME__BODY_VM_REPORT:
 		ev.report = frame->vm_report;
@@ -272,7 +272,7 @@
 	};
 
 	lead->options = *options;
-	lead->sch = sch_new(&sch_options, cell_now_ms());
+	lead->sch = sch_new(&sch_options, net_now_ms());
 	lead->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					    free_node);
 	lead->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
@@ -375,7 +375,7 @@
 	node->address = address;
 	node->dial_ms = 0;
 	node->dial_wait_ms = DIAL_MS;
-	node->reached_ms = cell_now_ms();
+	node->reached_ms = net_now_ms();
 }
 
 void cell_lead_proof(struct cell_lead *lead, gint64 sent_ms)
@@ -394,17 +394,12 @@
 
 static void beat(struct node *node, gint64 now_ms)
 {
-	struct Rp__Frame *frame;
-
 	/* Agents get orders, which serve as beats. */
 	if (node->role != CELL_ROLE_ENTRY ||
 	    now_ms < node->beat_ms + CELL_BEAT_MS)
 		return;
 	node->beat_ms = now_ms;
-	frame = wire_frame_new(RP__FRAME__BODY_NODE_BEAT);
-	frame->node_beat->fence = node->lead->options.fence;
-	cell_conn_send(node->conn, frame);
-	wire_frame_free(frame);
+	cell_conn_send_beat(node->conn, node->lead->options.fence);
 }
 
 /* Returns FALSE if the process is forgotten. */
@@ -437,7 +432,7 @@
 void cell_lead_tick(struct cell_lead *lead)
 {
 	struct sch_event ev = { .kind = SCH_EVENT_TICK };
-	gint64 now_ms = cell_now_ms();
+	gint64 now_ms = net_now_ms();
 	GHashTableIter iter;
 	gpointer value;
 
--- a/cell/register.c
+++ b/cell/register.c
@@ -62,7 +62,7 @@
 	reg->busy = FALSE;
 	if (result && result->succeeded) {
 		reg->written = TRUE;
-		reg->next_ms = cell_now_ms() + REWRITE_MS;
+		reg->next_ms = net_now_ms() + REWRITE_MS;
 		g_message("registered as %s at %s", reg->name, reg->address);
 		return;
 	}
--- a/net/net.c
+++ b/net/net.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include <strings.h>
 #include <sys/socket.h>
+#include <time.h>
 
 #define OPERATOR_TIMEOUT_S 10
 #define OPERATOR_MAX_BYTES (16 * 1024)
@@ -20,6 +21,14 @@
 	{ "OPTIONS", EVHTTP_REQ_OPTIONS },
 };
 
+gint64 net_now_ms(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_BOOTTIME, &ts);
+	return (gint64)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+}
+
 int net_split_address(const char *address, char **host, guint16 *port)
 {
 	const char *colon = strrchr(address, ':');
--- a/net/net.h
+++ b/net/net.h
@@ -7,6 +7,12 @@
 
 /* What the shells of both programs and the kv adapter share. */
 
+/**
+ * Boot clock in milliseconds, which does not stop while the VM is suspended;
+ * the only place that reads it.
+ */
+gint64 net_now_ms(void);
+
 /**
  * Splits "IP:PORT" or "[IP]:PORT"; the caller frees *host, which has no
  * brackets. Returns -1 if the address is neither.
--- a/radishpier-agent/operator.c
+++ b/radishpier-agent/operator.c
@@ -76,7 +76,7 @@
 	obs_gauge(ash->metrics, "radishpier_agent_session", NULL,
 		  (double)now.session);
 	obs_gauge(ash->metrics, "radishpier_agent_grant_left_ms", NULL,
-		  (double)MAX(now.grant_until_ms - ash_now_ms(), 0));
+		  (double)MAX(now.grant_until_ms - net_now_ms(), 0));
 	obs_count_set(ash->metrics, "radishpier_agent_wire_bytes_total",
 		      "direction=\"in\"", ash->wire_in_bytes);
 	obs_count_set(ash->metrics, "radishpier_agent_wire_bytes_total",
--- a/radishpier-agent/shell.c
+++ b/radishpier-agent/shell.c
@@ -26,14 +26,6 @@
 /** Longest wait for the last replies to be handed to the kernel. */
 #define FLUSH_MS 2000
 
-gint64 ash_now_ms(void)
-{
-	struct timespec now;
-
-	clock_gettime(CLOCK_BOOTTIME, &now);
-	return (gint64)now.tv_sec * 1000 + now.tv_nsec / 1000000;
-}
-
 static void log_effect(const struct agt_effect *fx)
 {
 	if (fx->log.job_id)
@@ -73,8 +65,8 @@
 		break;
 	case AGT_FX_DRAINED:
 		ash->drained = TRUE;
-		ash->linger_until_ms = ash_now_ms() + LINGER_MS;
-		ash->exit_at_ms = ash_now_ms() + FLUSH_MS;
+		ash->linger_until_ms = net_now_ms() + LINGER_MS;
+		ash->exit_at_ms = net_now_ms() + FLUSH_MS;
 		break;
 	case AGT_FX_LOG:
 		log_effect(fx);
@@ -90,7 +82,7 @@
 {
 	unsigned i;
 
-	event->now_ms = ash_now_ms();
+	event->now_ms = net_now_ms();
 	agt_reduce(ash->agt, event, ash->effects);
 	for (i = 0; i < ash->effects->len; i++)
 		carry_out(ash,
@@ -126,7 +118,7 @@
 	ash_event(ash, &event);
 	if (!ash->exit_at_ms)
 		return;
-	now_ms = ash_now_ms();
+	now_ms = net_now_ms();
 	if (ash->drained &&
 	    ((now_ms >= ash->linger_until_ms && ash_conns_flushed(ash)) ||
 	     now_ms >= ash->exit_at_ms)) {
@@ -150,7 +142,7 @@
 	struct agt_event event = { .kind = AGT_EV_DRAIN };
 
 	if (!ash->exit_at_ms)
-		ash->exit_at_ms = ash_now_ms() +
+		ash->exit_at_ms = net_now_ms() +
 				  ash->settings->drain_timeout_ms;
 	ash_event(ash, &event);
 }
--- a/radishpier-agent/shell.h
+++ b/radishpier-agent/shell.h
@@ -10,6 +10,7 @@
 
 #include "../agent/agent.h"
 #include "../config/config.h"
+#include "../net/net.h"
 #include "../obs/obs.h"
 
 /* Shared by the sources of radishpier-agent/ only. */
@@ -50,9 +51,6 @@
 
 /* shell.c */
 
-/** Boot clock; the only place that reads it. */
-gint64 ash_now_ms(void);
-
 /**
  * Applies the event, whose time is filled in, and carries out its effects.
  * While effects are carried out, only events without pointers may be given;
--- a/radishpier/srv.h
+++ b/radishpier/srv.h
@@ -10,6 +10,7 @@
 #include "../entry/entry.h"
 #include "../jobs/jobs.h"
 #include "../kv/kv.h"
+#include "../net/net.h"
 #include "../obs/obs.h"
 #include "../wire/wire.h"
 
@@ -81,9 +82,6 @@
 
 /* srv_run.c */
 
-/** Boot clock in milliseconds; the only place that reads it. */
-gint64 srv_now_ms(void);
-
 /**
  * Applies the event and carries out its effects.
  *
--- a/radishpier/srv_claim.c
+++ b/radishpier/srv_claim.c
@@ -247,7 +247,7 @@
 	claims->waiting = g_ptr_array_new_with_free_func(claim_free);
 	if (!error) {
 		claims->lease = lease;
-		claims->lease_granted_ms = srv_now_ms();
+		claims->lease_granted_ms = net_now_ms();
 	}
 	for (i = 0; i < waiting->len; i++) {
 		const struct claim *claim = g_ptr_array_index(waiting, i);
@@ -266,7 +266,7 @@
 		    const char *owner)
 {
 	struct claim *claim = g_new0(struct claim, 1);
-	gint64 age_ms = srv_now_ms() - claims->lease_granted_ms;
+	gint64 age_ms = net_now_ms() - claims->lease_granted_ms;
 
 	claim->handle = handle;
 	claim->key = claim_key(key);
@@ -292,7 +292,7 @@
 
 static void release_retry(struct release *release)
 {
-	gint64 now_ms = srv_now_ms();
+	gint64 now_ms = net_now_ms();
 
 	if (now_ms - release->started_ms >= RELEASE_MAX_MS) {
 		srv_log(G_LOG_LEVEL_WARNING,
@@ -357,7 +357,7 @@
 			     gint64 revision, const GError *error)
 {
 	struct release *release = data;
-	gint64 age_ms = srv_now_ms() - release->started_ms;
+	gint64 age_ms = net_now_ms() - release->started_ms;
 	const struct kv_pair *pair;
 
 	(void)revision;
@@ -395,7 +395,7 @@
 	release->key = claim_key(key);
 	release->owner = g_strdup(owner);
 	release->written = written;
-	release->started_ms = srv_now_ms();
+	release->started_ms = net_now_ms();
 	release->next_ms = release->started_ms;
 	g_ptr_array_add(claims->releases, release);
 }
--- a/radishpier/srv_conn.c
+++ b/radishpier/srv_conn.c
@@ -55,7 +55,7 @@
 	conn->conns = conns;
 	conn->number = ++conns->next_number;
 	conn->address = g_strdup(address);
-	conn->opened_ms = srv_now_ms();
+	conn->opened_ms = net_now_ms();
 	conn->bev = bufferevent_socket_new(conns->srv->base, fd,
 					   BEV_OPT_CLOSE_ON_FREE);
 	bufferevent_setcb(conn->bev, on_read, on_write, on_event, conn);
@@ -331,7 +331,7 @@
 		return;
 	}
 	conn->closing = TRUE;
-	conn->close_by_ms = srv_now_ms() + CLOSE_FLUSH_MS;
+	conn->close_by_ms = net_now_ms() + CLOSE_FLUSH_MS;
 	bufferevent_disable(conn->bev, EV_READ);
 	bufferevent_setwatermark(conn->bev, EV_WRITE, 0, 0);
 	retire(conn);
--- a/radishpier/srv_dial.c
+++ b/radishpier/srv_dial.c
@@ -178,7 +178,7 @@
 	struct ent_event ev = { .kind = ENT_EV_PEER_CONNECTED };
 
 	bufferevent_set_timeouts(conn->bev, NULL, NULL);
-	conn->opened_ms = srv_now_ms();
+	conn->opened_ms = net_now_ms();
 	conn_ready(conn);
 	conn->known = TRUE;
 	ev.conn.conn = conn->number;
@@ -188,7 +188,7 @@
 void dialler_closed(struct conn *conn)
 {
 	struct dialler *d = conn->dialler;
-	gint64 now_ms = srv_now_ms();
+	gint64 now_ms = net_now_ms();
 
 	if (!d)
 		return;
--- a/radishpier/srv_http.c
+++ b/radishpier/srv_http.c
@@ -143,7 +143,7 @@
 
 	(void)buffer;
 	if (info->n_added && !caller->req && !caller->receiving_since_ms)
-		caller->receiving_since_ms = srv_now_ms();
+		caller->receiving_since_ms = net_now_ms();
 }
 
 /* Status of the answer that begins in the buffer. */
@@ -264,7 +264,7 @@
 	caller->writing = FALSE;
 	caller->http->writing--;
 	if (evbuffer_get_length(bufferevent_get_input(bev)))
-		caller->receiving_since_ms = srv_now_ms();
+		caller->receiving_since_ms = net_now_ms();
 }
 
 static void free_reply(const void *data, size_t len, void *ctx)
--- a/radishpier/srv_jobs.c
+++ b/radishpier/srv_jobs.c
@@ -81,7 +81,7 @@
 	call->op = op;
 	call->job_id = g_strdup(job_id);
 	call->body = g_bytes_new(http->body, http->body_len);
-	call->deadline_ms = srv_now_ms() + OWNER_WAIT_MS;
+	call->deadline_ms = net_now_ms() + OWNER_WAIT_MS;
 	return call;
 }
 
@@ -192,7 +192,7 @@
 /* Takes the call over; answers "not-run" if it can wait no longer. */
 static void wait_for_owner(struct srv_jobs *jobs, struct call *call)
 {
-	if (srv_now_ms() < call->deadline_ms &&
+	if (net_now_ms() < call->deadline_ms &&
 	    g_queue_get_length(jobs->waiting) < MAX_WAITING) {
 		g_queue_push_tail(jobs->waiting, call);
 		return;
@@ -302,7 +302,7 @@
 	forward->id = jobs->next_id;
 	forward->call = call;
 	forward->conn = conn;
-	forward->deadline_ms = srv_now_ms() + FORWARD_TIMEOUT_MS;
+	forward->deadline_ms = net_now_ms() + FORWARD_TIMEOUT_MS;
 	forward->link.data = forward;
 	g_hash_table_insert(jobs->forwards, &forward->id, forward);
 	g_queue_push_tail_link(&jobs->by_deadline, &forward->link);
--- a/radishpier/srv_platform.c
+++ b/radishpier/srv_platform.c
@@ -106,7 +106,7 @@
 {
 	struct srv_platform *platform = ctx;
 	struct srv *srv = platform->srv;
-	gint64 now_ms = srv_now_ms();
+	gint64 now_ms = net_now_ms();
 	gboolean granted = !platform->calling_lease;
 
 	platform->calling = FALSE;
@@ -174,7 +174,7 @@
 	}
 	srv_log(G_LOG_LEVEL_WARNING, "cannot register: %s", error->message);
 	platform->next_register_ms =
-		srv_now_ms() + srv_backoff_ms(platform->srv,
+		net_now_ms() + srv_backoff_ms(platform->srv,
 					      platform->register_failures++,
 					      BACKOFF_MAX_MS);
 }
@@ -294,7 +294,7 @@
 	struct srv *srv = follow->platform->srv;
 
 	srv_log(G_LOG_LEVEL_WARNING, "%s: %s", follow->prefix, error->message);
-	follow->retry_ms = srv_now_ms() + srv_backoff_ms(srv,
+	follow->retry_ms = net_now_ms() + srv_backoff_ms(srv,
 							 follow->failures++,
 							 BACKOFF_MAX_MS);
 }
--- a/radishpier/srv_run.c
+++ b/radishpier/srv_run.c
@@ -16,14 +16,6 @@
 
 G_DEFINE_QUARK(srv_error_quark, srv_error)
 
-gint64 srv_now_ms(void)
-{
-	struct timespec ts;
-
-	clock_gettime(CLOCK_BOOTTIME, &ts);
-	return (gint64)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
-}
-
 gint64 srv_backoff_ms(struct srv *srv, unsigned failures, gint64 max_ms)
 {
 	gint64 ms = (gint64)200 << MIN(failures, 10);
@@ -165,7 +157,7 @@
 {
 	guint i;
 
-	event->now_ms = srv_now_ms();
+	event->now_ms = net_now_ms();
 	event->unix_ms = g_get_real_time() / 1000;
 	ent_reduce(srv->ent, event, srv->effects);
 	for (i = 0; i < srv->effects->len; i++)
@@ -180,7 +172,7 @@
  */
 static void check_clock(struct srv *srv)
 {
-	gint64 now_ms = srv_now_ms();
+	gint64 now_ms = net_now_ms();
 
 	if (srv->lease && now_ms >= srv->lease_deadline_ms)
 		srv_platform_lease_lost(srv->platform, "expired");
@@ -280,7 +272,7 @@
 	(void)fd;
 	(void)what;
 	srv_dispatch(srv, &tick);
-	now_ms = srv_now_ms();
+	now_ms = net_now_ms();
 	srv->last_tick_ms = now_ms;
 	srv_platform_tick(srv->platform, now_ms);
 	srv_jobs_tick(srv->jobs, now_ms);
@@ -302,7 +294,7 @@
 	 * until then its callers must not meet a closed listener.
 	 */
 	srv->draining = TRUE;
-	srv->grace_until_ms = srv_now_ms() + srv->settings->drain_grace_ms;
+	srv->grace_until_ms = net_now_ms() + srv->settings->drain_grace_ms;
 }
 
 static struct event_base *new_base(void)
@@ -370,7 +362,7 @@
 	srv->metrics = obs_metrics_new();
 	srv->effects = ent_effects_new();
 	srv->queued = g_array_new(FALSE, FALSE, sizeof(struct ent_event));
-	srv->last_tick_ms = srv_now_ms();
+	srv->last_tick_ms = net_now_ms();
 	srv->ent = ent_new(&options);
 	srv->jobs = srv_jobs_new(srv);
 	srv->ops = srv_ops_new(srv, error);
--- a/runs/hold.c
+++ b/runs/hold.c
@@ -35,7 +35,6 @@
 	/* The first lists under a fence are wanted at once. */
 	call->wait_ms = r->lists_valid ? HOLD_WAIT_MS : 0;
 	r->hold_call = call->id;
-	r->hold_fence = r->fence;
 	r->hold_ms = r->now_ms;
 	runs_call_send(r, call);
 }
@@ -49,7 +48,7 @@
 	g_ptr_array_set_size(r->running, 0);
 	for (i = 0; i < answer->n_running; i++)
 		g_ptr_array_add(r->running,
-				runs_copy_message(&answer->running[i]->base));
+				wire_message_dup(&answer->running[i]->base));
 	r->lists_due = TRUE;
 	r->figures_due = TRUE;
 }
@@ -65,7 +64,7 @@
 			continue;
 		r->reported_end = answer->ended[i]->number;
 		g_ptr_array_add(r->ended,
-				runs_copy_message(&answer->ended[i]->base));
+				wire_message_dup(&answer->ended[i]->base));
 		g_hash_table_remove(r->infos, answer->ended[i]->run->task);
 		news = TRUE;
 	}
--- a/runs/internal.h
+++ b/runs/internal.h
@@ -70,7 +70,6 @@
 	gint64 answered_ms;
 	guint64 next_call;
 	guint64 hold_call;
-	guint64 hold_fence;
 	gint64 hold_ms;
 	gint64 next_hold_ms;
 	guint holds_lost;
@@ -109,8 +108,6 @@
 };
 
 /* runs.c */
-/** Returns a deep copy. */
-gpointer runs_copy_message(const ProtobufCMessage *message);
 struct runs_call *runs_call_new(struct runs *r, enum runs_call_kind kind,
 				gint64 timeout_ms);
 void runs_call_send(struct runs *r, struct runs_call *call);
--- a/runs/runs.c
+++ b/runs/runs.c
@@ -99,32 +99,13 @@
 	wire_frame_free(effect->frame);
 }
 
-gpointer runs_copy_message(const ProtobufCMessage *message)
-{
-	size_t len = protobuf_c_message_get_packed_size(message);
-	g_autofree uint8_t *data = g_malloc(len);
-
-	protobuf_c_message_pack(message, data);
-	return protobuf_c_message_unpack(message->descriptor, NULL, len, data);
-}
-
-static struct Rp__RunName *name_new(const char *task, guint32 attempt)
-{
-	struct Rp__RunName *name = g_malloc(sizeof(*name));
-
-	rp__run_name__init(name);
-	wire_set_string(&name->task, task);
-	name->attempt = attempt;
-	return name;
-}
-
 void runs_answer_add(struct runs *r, const char *task, guint32 attempt,
 		     gboolean started, const char *reason)
 {
 	struct Rp__RunAnswer *answer = g_malloc(sizeof(*answer));
 
 	rp__run_answer__init(answer);
-	answer->run = name_new(task, attempt);
+	answer->run = wire_run_name_new(task, attempt);
 	answer->started = started;
 	wire_set_string(&answer->reason, reason);
 	if (!started)
@@ -195,7 +176,7 @@
 		r->report_due = TRUE;
 	if (r->worker)
 		rp__worker_info__free_unpacked(r->worker, NULL);
-	r->worker = runs_copy_message(&worker->base);
+	r->worker = wire_message_dup(&worker->base);
 }
 
 static void worker_left(struct runs *r, const char *worker_id)
@@ -299,7 +280,7 @@
 	body->fence = r->fence;
 	body->agent_up_ms = (guint32)MIN(r->now_ms - r->began_ms, G_MAXINT32);
 	if (r->worker) {
-		body->worker = runs_copy_message(&r->worker->base);
+		body->worker = wire_message_dup(&r->worker->base);
 		body->clock_ms = r->clock_ms;
 		body->clock_age_ms = (guint32)(r->now_ms - r->clock_at_ms);
 		body->lease_until_ms = r->lease_sent_ms;
@@ -319,7 +300,7 @@
 		body->running = g_new0(struct Rp__RunRow *, r->running->len);
 		for (i = 0; i < r->running->len; i++)
 			body->running[i] =
-				runs_copy_message(r->running->pdata[i]);
+				wire_message_dup(r->running->pdata[i]);
 		r->listed_ms = r->now_ms;
 		r->lists_due = FALSE;
 	}
--- a/sched/call.c
+++ b/sched/call.c
@@ -37,15 +37,6 @@
 	g_array_append_val(job->waiters, waiter);
 }
 
-static struct Rp__StepJob *copy_spec(const struct Rp__StepJob *spec)
-{
-	size_t len = rp__step_job__get_packed_size(spec);
-	g_autofree uint8_t *data = g_malloc(len);
-
-	rp__step_job__pack(spec, data);
-	return rp__step_job__unpack(NULL, len, data);
-}
-
 static void log_submission(struct sch *s, const struct sch_job *job)
 {
 	g_autoptr(GString) steps = g_string_new(NULL);
@@ -107,7 +98,7 @@
 			  RP__JOB_STATE__JOB_STATE_NONE, 0, 0);
 		return;
 	}
-	spec = copy_spec(call->job);
+	spec = wire_message_dup(&call->job->base);
 	wire_set_string(&spec->job_id, id);
 	wire_set_string(&spec->queue, queue->name);
 	spec->submitted_unix_ms = s->unix_ms;
--- a/sched/model_test.h
+++ b/sched/model_test.h
@@ -415,13 +415,9 @@
 	for (i = 0; i < w->runs->len; i++) {
 		const struct model_run *run = w->runs->pdata[i];
 		struct Rp__RunRow *row = g_malloc(sizeof(*row));
-		struct Rp__RunName *name = g_malloc(sizeof(*name));
 
 		rp__run_row__init(row);
-		rp__run_name__init(name);
-		wire_set_string(&name->task, run->task);
-		name->attempt = run->attempt;
-		row->run = name;
+		row->run = wire_run_name_new(run->task, run->attempt);
 		row->percent = (guint32)((m->now_ms - run->begins_ms) * 100 /
 					 MAX(run->ends_ms - run->begins_ms, 1));
 		answer->running[i] = row;
@@ -431,13 +427,9 @@
 	for (i = 0; i < w->ends->len; i++) {
 		const struct model_end *end = w->ends->pdata[i];
 		struct Rp__RunEnd *row = g_malloc(sizeof(*row));
-		struct Rp__RunName *name = g_malloc(sizeof(*name));
 
 		rp__run_end__init(row);
-		rp__run_name__init(name);
-		wire_set_string(&name->task, end->task);
-		name->attempt = end->attempt;
-		row->run = name;
+		row->run = wire_run_name_new(end->task, end->attempt);
 		row->number = end->number;
 		row->kind = end->kind;
 		answer->ended[i] = row;
--- a/sched/vm.c
+++ b/sched/vm.c
@@ -531,16 +531,6 @@
 	}
 }
 
-static struct Rp__RunName *run_name_new(const char *task, guint32 attempt)
-{
-	struct Rp__RunName *name = g_malloc(sizeof(*name));
-
-	rp__run_name__init(name);
-	wire_set_string(&name->task, task);
-	name->attempt = attempt;
-	return name;
-}
-
 static struct Rp__RunStart *run_start_new(const struct sch_run *run)
 {
 	const struct sch_task *task = run->task;
@@ -548,7 +538,7 @@
 	struct Rp__RunStart *start = g_malloc(sizeof(*start));
 
 	rp__run_start__init(start);
-	start->run = run_name_new(run->name, run->attempt);
+	start->run = wire_run_name_new(run->name, run->attempt);
 	wire_set_bytes(&start->payload, spec->payload.data, spec->payload.len);
 	wire_set_string(&start->checkpoint, task->checkpoint);
 	start->target_ms = task->phase->step->target_ms;
@@ -571,7 +561,7 @@
 	for (i = 0; i < vm->stops->len; i++) {
 		const struct sch_run_ref *ref = vm->stops->pdata[i];
 
-		orders->stops[i] = run_name_new(ref->task, ref->attempt);
+		orders->stops[i] = wire_run_name_new(ref->task, ref->attempt);
 	}
 	g_ptr_array_set_size(vm->starts, 0);
 	g_ptr_array_set_size(vm->stops, 0);
--- a/wire/wire.c
+++ b/wire/wire.c
@@ -101,13 +101,28 @@
 		rp__frame__free_unpacked(frame, NULL);
 }
 
-struct Rp__Frame *wire_frame_dup(const struct Rp__Frame *frame)
+gpointer wire_message_dup(const struct ProtobufCMessage *message)
 {
-	size_t len = rp__frame__get_packed_size(frame);
+	size_t len = protobuf_c_message_get_packed_size(message);
 	g_autofree uint8_t *bytes = g_malloc(len);
 
-	rp__frame__pack(frame, bytes);
-	return rp__frame__unpack(NULL, len, bytes);
+	protobuf_c_message_pack(message, bytes);
+	return protobuf_c_message_unpack(message->descriptor, NULL, len, bytes);
+}
+
+struct Rp__Frame *wire_frame_dup(const struct Rp__Frame *frame)
+{
+	return wire_message_dup(&frame->base);
+}
+
+struct Rp__RunName *wire_run_name_new(const char *task, guint32 attempt)
+{
+	struct Rp__RunName *name = g_malloc(sizeof(*name));
+
+	rp__run_name__init(name);
+	wire_set_string(&name->task, task);
+	name->attempt = attempt;
+	return name;
 }
 
 void wire_set_string(char **field, const char *value)
--- a/wire/wire.h
+++ b/wire/wire.h
@@ -65,6 +65,12 @@
 /** Frees a frame from wire_read() or wire_frame_new(); accepts NULL. */
 void wire_frame_free(struct Rp__Frame *frame);
 
+/** Returns a deep copy of a message of any kind. */
+gpointer wire_message_dup(const struct ProtobufCMessage *message);
+
+/** Returns the name of a run. */
+struct Rp__RunName *wire_run_name_new(const char *task, guint32 attempt);
+
 /** Returns a deep copy, freed with wire_frame_free(). */
 struct Rp__Frame *wire_frame_dup(const struct Rp__Frame *frame);
 
