sched, runs: one traversal of a job's tasks, one stop order, one pace call

Cause: four nested loops over occurrences, steps and tasks, two ways to queue a stop order, two loops that stop a gang, two copies of the call that sets a pace and three of the formula for a filling task's part of a stretch stood beside each other.

Ruled out: one check for exhausted phases in place.c and run.c. The checks differ for a copy that fails after its task is done: run.c ends the job then, place.c does not. They stay apart here, since sharing them changes an outcome.

Change: sch_job_foreach_task(), sch_vm_order_stop(), sch_run_stop_gang() with a run to leave out, send_pace(), part_of() and share_percent() serve all callers. The bounds of a pace call are named constants with their former values.

Conclusion: behaviour unchanged.

--- a/runs/pace.c
+++ b/runs/pace.c
@@ -25,6 +25,11 @@
 /** A share below this is not worth the disturbance. */
 #define SHARE_MIN 0.04
 
+/** Of the share: it starts without a call from here on, and smaller steps are
+ * not worth one. */
+#define FULL_PERCENT 95
+#define MIN_STEP_PERCENT 4
+
 #define PACE_TIMEOUT_MS 300
 
 /** A share is repeated, since a call without answer may take effect late. */
@@ -62,6 +67,14 @@
 		info->trust = MIN(info->trust + TRUST_STEP, 1);
 }
 
+/* Part of the serving task's stretch that one at its share makes. */
+static double part_of(const struct runs *r, const struct runs_info *serving,
+		      const struct runs_info *filling)
+{
+	return colo_slope(r->colo, serving->image, filling->image) *
+	       filling->cpus * filling->share;
+}
+
 /* Slows what slows this task until it has room. */
 static void make_room(struct runs *r, const struct runs_info *serving)
 {
@@ -78,8 +91,7 @@
 
 		if (!info || !info->fills)
 			continue;
-		part = colo_slope(r->colo, serving->image, info->image) *
-		       info->cpus * info->share;
+		part = part_of(r, serving, info);
 		stretch += part;
 		if (part > BLAME_STRETCH)
 			blamed += part;
@@ -95,8 +107,7 @@
 
 		if (!info || !info->fills)
 			continue;
-		part = colo_slope(r->colo, serving->image, info->image) *
-		       info->cpus * info->share;
+		part = part_of(r, serving, info);
 		if (blamed <= 0 || part > BLAME_STRETCH)
 			info->share *= MIN(factor, 1);
 	}
@@ -132,14 +143,14 @@
 	}
 }
 
-static void send_pace(struct runs *r, const struct Rp__RunRow *row,
+static void send_pace(struct runs *r, const char *task, guint32 attempt,
 		      struct runs_info *info, guint percent)
 {
 	struct runs_call *call = runs_call_new(r, RUNS_CALL_PACE,
 					       PACE_TIMEOUT_MS);
 
-	call->task = g_strdup(row->run->task);
-	call->attempt = row->run->attempt;
+	call->task = g_strdup(task);
+	call->attempt = attempt;
 	call->percent = percent;
 	info->percent = percent;
 	info->paced_ms = r->now_ms;
@@ -147,6 +158,11 @@
 	runs_call_send(r, call);
 }
 
+static guint share_percent(const struct runs_info *info)
+{
+	return info->share < SHARE_MIN ? 0 : (guint)(info->share * 100);
+}
+
 /* Share that the serving tasks leave to one more that fills. */
 static double share_beside(struct runs *r, const struct runs_info *filling)
 {
@@ -166,9 +182,7 @@
 			const struct runs_info *info = row_info(r, k);
 
 			if (info && info->fills && info != filling)
-				room -= colo_slope(r->colo, serving->image,
-						   info->image) *
-					info->cpus * info->share;
+				room -= part_of(r, serving, info);
 		}
 		part = colo_slope(r->colo, serving->image, filling->image) *
 		       filling->cpus;
@@ -181,24 +195,15 @@
 void runs_pace_started(struct runs *r, const char *task, guint32 attempt)
 {
 	struct runs_info *info = g_hash_table_lookup(r->infos, task);
-	struct runs_call *call;
 	guint percent;
 
 	if (!info || !info->fills || info->attempt != attempt ||
 	    info->pace_call)
 		return;
 	info->share = share_beside(r, info);
-	percent = info->share < SHARE_MIN ? 0 : (guint)(info->share * 100);
-	if (percent >= 95)
-		return;
-	call = runs_call_new(r, RUNS_CALL_PACE, PACE_TIMEOUT_MS);
-	call->task = g_strdup(task);
-	call->attempt = attempt;
-	call->percent = percent;
-	info->percent = percent;
-	info->paced_ms = r->now_ms;
-	info->pace_call = call->id;
-	runs_call_send(r, call);
+	percent = share_percent(info);
+	if (percent < FULL_PERCENT)
+		send_pace(r, task, attempt, info, percent);
 }
 
 void runs_pace(struct runs *r)
@@ -218,16 +223,15 @@
 
 		if (!info || !info->fills || info->pace_call)
 			continue;
-		percent = info->share < SHARE_MIN ? 0
-						  : (guint)(info->share * 100);
+		percent = share_percent(info);
 		/* Small steps are not worth a call. */
-		if (ABS((int)percent - (int)info->percent) < 4 &&
+		if (ABS((int)percent - (int)info->percent) < MIN_STEP_PERCENT &&
 		    percent != 0 && percent != 100)
 			percent = info->percent;
 		if (info->percent == percent &&
 		    (percent == 100 || r->now_ms < info->paced_ms + REPEAT_MS))
 			continue;
-		send_pace(r, row, info, percent);
+		send_pace(r, row->run->task, row->run->attempt, info, percent);
 	}
 }
 
--- a/sched/commit.c
+++ b/sched/commit.c
@@ -34,22 +34,12 @@
 	g_queue_push_tail(&s->urgent, job);
 }
 
-static void set_committing(struct sch_job *job)
+static void set_committing(void *ctx G_GNUC_UNUSED, struct sch_task *task)
 {
 	guint i;
-	size_t k;
-	guint t;
-	guint r;
-
-	for (i = 0; job->spec && i < job->n_occurrences; i++) {
-		struct sch_phase *phases = job->occurrences[i].phases;
-
-		for (k = 0; phases && k < job->spec->n_steps; k++)
-			for (t = 0; t < phases[k].n_tasks; t++)
-				for (r = 0; r < phases[k].tasks[t].n_runs; r++)
-					phases[k].tasks[t].runs[r]->committing =
-						TRUE;
-	}
+
+	for (i = 0; i < task->n_runs; i++)
+		task->runs[i]->committing = TRUE;
 }
 
 static void put_bytes(struct kv_txn *txn, const char *prefix, const char *id,
@@ -81,7 +71,7 @@
 	job->committing_change = job->change;
 	job->committing_state = job->state;
 	job->change = 0;
-	set_committing(job);
+	sch_job_foreach_task(job, set_committing, NULL);
 }
 
 /* The next job to write: ends alone can wait, starts and callers cannot. */
@@ -122,32 +112,22 @@
 	effect->txn = txn;
 }
 
-static void order_runs(struct sch *s, struct sch_job *job)
+/* A run that is no longer wanted is removed, and the next one moves up. */
+static void order_task(void *ctx, struct sch_task *task)
 {
-	g_autoptr(GPtrArray) runs = g_ptr_array_new();
-	guint i;
-	size_t k;
-	guint t;
-	guint r;
-
-	for (i = 0; job->spec && i < job->n_occurrences; i++) {
-		struct sch_phase *phases = job->occurrences[i].phases;
-
-		for (k = 0; phases && k < job->spec->n_steps; k++)
-			for (t = 0; t < phases[k].n_tasks; t++)
-				for (r = 0; r < phases[k].tasks[t].n_runs; r++)
-					g_ptr_array_add(
-						runs,
-						phases[k].tasks[t].runs[r]);
-	}
-	for (i = 0; i < runs->len; i++) {
-		struct sch_run *run = runs->pdata[i];
+	struct sch *s = ctx;
+	guint i = 0;
+
+	while (i < task->n_runs) {
+		struct sch_run *run = task->runs[i];
+		gboolean planned = run->committing &&
+				   run->state == SCH_RUN_PLANNED;
 
-		if (!run->committing)
-			continue;
 		run->committing = FALSE;
-		if (run->state == SCH_RUN_PLANNED)
+		if (planned)
 			sch_run_order(s, run);
+		if (i < task->n_runs && task->runs[i] == run)
+			i++;
 	}
 }
 
@@ -164,7 +144,7 @@
 		job->committing = FALSE;
 		job->stored = TRUE;
 		job->shown = job->committing_state;
-		order_runs(s, job);
+		sch_job_foreach_task(job, order_task, s);
 		sch_call_committed(s, job);
 		if (job->forgotten)
 			g_hash_table_remove(s->jobs, job->id);
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -318,6 +318,10 @@
 void sch_job_close_ended(struct sch *s);
 /** Longest chain of work of the job, as declared and learned, ms. */
 gint64 sch_job_chain_ms(struct sch *s, const struct sch_job *job);
+/** Calls fn for each task of the job whose occurrence has come. */
+void sch_job_foreach_task(const struct sch_job *job,
+			  void (*fn)(void *ctx, struct sch_task *task),
+			  void *ctx);
 /** Stops all runs of the job. */
 void sch_job_stop_runs(struct sch *s, struct sch_job *job);
 void sch_task_set_checkpoint(struct sch_task *task, const char *checkpoint);
@@ -329,6 +333,9 @@
 void sch_run_remove(struct sch *s, struct sch_run *run);
 void sch_run_free(struct sch_run *run);
 void sch_run_stop(struct sch *s, struct sch_run *run);
+/** Stops the members of a gang, but for one run that may be NULL. */
+void sch_run_stop_gang(struct sch *s, struct sch_phase *phase,
+		       const struct sch_run *except);
 void sch_run_order(struct sch *s, struct sch_run *run);
 /** Takes note that the worker has begun the run. */
 void sch_run_began(struct sch *s, struct sch_run *run);
@@ -352,6 +359,8 @@
 void sch_vm_expire(struct sch *s);
 void sch_vm_send_orders(struct sch *s);
 gboolean sch_vm_is_usable(const struct sch *s, const struct sch_vm *vm);
+/** Orders the worker to stop a run, known here or not. */
+void sch_vm_order_stop(struct sch_vm *vm, const char *task, guint32 attempt);
 gboolean sch_vm_has_label(const struct sch_vm *vm, const char *label);
 void sch_vm_fault(struct sch *s, struct sch_vm *vm, struct sch_job *job);
 void sch_vm_clear_faults(struct sch_vm *vm);
--- a/sched/job.c
+++ b/sched/job.c
@@ -271,7 +271,9 @@
 		sch_job_end(s, job, RP__JOB_STATE__JOB_STATE_DONE);
 }
 
-void sch_job_stop_runs(struct sch *s, struct sch_job *job)
+void sch_job_foreach_task(const struct sch_job *job,
+			  void (*fn)(void *ctx, struct sch_task *task),
+			  void *ctx)
 {
 	guint i;
 	size_t k;
@@ -280,24 +282,30 @@
 	for (i = 0; job->spec && i < job->n_occurrences; i++) {
 		struct sch_phase *phases = job->occurrences[i].phases;
 
-		for (k = 0; phases && k < job->spec->n_steps; k++) {
-			for (t = 0; t < phases[k].n_tasks; t++) {
-				struct sch_task *task = &phases[k].tasks[t];
-
-				while (task->n_runs &&
-				       task->runs[0]->state ==
-					       SCH_RUN_PLANNED &&
-				       !task->runs[0]->committing)
-					sch_run_remove(s, task->runs[0]);
-				if (task->n_runs)
-					sch_run_stop(s, task->runs[0]);
-				if (task->n_runs > 1)
-					sch_run_stop(s, task->runs[1]);
-			}
-		}
+		for (k = 0; phases && k < job->spec->n_steps; k++)
+			for (t = 0; t < phases[k].n_tasks; t++)
+				fn(ctx, &phases[k].tasks[t]);
 	}
 }
 
+static void stop_task(void *ctx, struct sch_task *task)
+{
+	struct sch *s = ctx;
+
+	while (task->n_runs && task->runs[0]->state == SCH_RUN_PLANNED &&
+	       !task->runs[0]->committing)
+		sch_run_remove(s, task->runs[0]);
+	if (task->n_runs)
+		sch_run_stop(s, task->runs[0]);
+	if (task->n_runs > 1)
+		sch_run_stop(s, task->runs[1]);
+}
+
+void sch_job_stop_runs(struct sch *s, struct sch_job *job)
+{
+	sch_job_foreach_task(job, stop_task, s);
+}
+
 void sch_job_end(struct sch *s, struct sch_job *job, Rp__JobState state)
 {
 	static const char *const names[] = {
--- a/sched/record.c
+++ b/sched/record.c
@@ -44,23 +44,10 @@
 	return progress;
 }
 
-static void add_tasks(const struct sch_job *job, GPtrArray *tasks)
+static void add_task(void *ctx, struct sch_task *task)
 {
-	guint i;
-	size_t k;
-	guint t;
-
-	for (i = 0; job->spec && i < job->n_occurrences; i++) {
-		struct sch_phase *phases = job->occurrences[i].phases;
-
-		for (k = 0; phases && k < job->spec->n_steps; k++)
-			for (t = 0; t < phases[k].n_tasks; t++)
-				if (phases[k].tasks[t].attempts)
-					g_ptr_array_add(
-						tasks,
-						task_progress_new(
-							&phases[k].tasks[t]));
-	}
+	if (task->attempts)
+		g_ptr_array_add(ctx, task_progress_new(task));
 }
 
 GBytes *sch_record_progress(const struct sch_job *job)
@@ -75,7 +62,7 @@
 	progress.state = job->state;
 	progress.ended_unix_ms = job->ended_unix_ms;
 	progress.queue = job->queue;
-	add_tasks(job, tasks);
+	sch_job_foreach_task(job, add_task, tasks);
 	progress.n_tasks = tasks->len;
 	progress.tasks = (struct Rp__TaskProgress **)tasks->pdata;
 	len = rp__step_progress__get_packed_size(&progress);
--- a/sched/run.c
+++ b/sched/run.c
@@ -84,8 +84,6 @@
 
 void sch_run_stop(struct sch *s G_GNUC_UNUSED, struct sch_run *run)
 {
-	struct sch_run_ref *ref;
-
 	if (run->stopping)
 		return;
 	run->stopping = TRUE;
@@ -93,10 +91,7 @@
 	/* A planned run is stopped once its record is durable. */
 	if (run->state == SCH_RUN_PLANNED)
 		return;
-	ref = g_new0(struct sch_run_ref, 1);
-	ref->task = g_strdup(run->name);
-	ref->attempt = run->attempt;
-	g_ptr_array_add(run->vm->stops, ref);
+	sch_vm_order_stop(run->vm, run->name, run->attempt);
 }
 
 void sch_run_began(struct sch *s, struct sch_run *run)
@@ -205,12 +200,13 @@
 }
 
 /* A member's end breaks its gang, whose members start again together. */
-static void stop_gang(struct sch *s, struct sch_phase *phase)
+void sch_run_stop_gang(struct sch *s, struct sch_phase *phase,
+		       const struct sch_run *except)
 {
 	guint i;
 
 	for (i = 0; i < phase->n_tasks; i++)
-		if (phase->tasks[i].n_runs)
+		if (phase->tasks[i].n_runs && phase->tasks[i].runs[0] != except)
 			sch_run_stop(s, phase->tasks[i].runs[0]);
 }
 
@@ -262,7 +258,7 @@
 		break;
 	}
 	if (task->phase->step->gang && !task->done && !sch_job_has_ended(job))
-		stop_gang(s, task->phase);
+		sch_run_stop_gang(s, task->phase, NULL);
 }
 
 void sch_run_ended(struct sch *s, struct sch_vm *vm,
--- a/sched/vm.c
+++ b/sched/vm.c
@@ -259,12 +259,12 @@
 	return TRUE;
 }
 
-static void order_stop(struct sch_vm *vm, const struct Rp__RunName *name)
+void sch_vm_order_stop(struct sch_vm *vm, const char *task, guint32 attempt)
 {
 	struct sch_run_ref *ref = g_new0(struct sch_run_ref, 1);
 
-	ref->task = g_strdup(name->task);
-	ref->attempt = name->attempt;
+	ref->task = g_strdup(task);
+	ref->attempt = attempt;
 	g_ptr_array_add(vm->stops, ref);
 }
 
@@ -343,10 +343,8 @@
 {
 	size_t i;
 
-	gboolean first = !vm->synced;
-
 	g_hash_table_remove_all(vm->strangers);
-	if (first)
+	if (!vm->synced)
 		sync_runs(s, vm, report);
 	for (i = 0; i < report->n_running; i++) {
 		const struct Rp__RunRow *row = report->running[i];
@@ -360,7 +358,7 @@
 			continue;
 		}
 		g_hash_table_add(vm->strangers, g_strdup(row->run->task));
-		order_stop(vm, row->run);
+		sch_vm_order_stop(vm, row->run->task, row->run->attempt);
 	}
 	sch_interfere_learn(s, vm, report);
 }
@@ -408,16 +406,8 @@
 	if (strcmp(answer->reason, "stopped") &&
 	    strcmp(answer->reason, "draining") && !run->stopping)
 		sch_vm_fault(s, vm, run->task->job);
-	if (run->task->phase->step->gang &&
-	    !sch_job_has_ended(run->task->job)) {
-		struct sch_phase *phase = run->task->phase;
-		guint i;
-
-		for (i = 0; i < phase->n_tasks; i++)
-			if (phase->tasks[i].n_runs &&
-			    phase->tasks[i].runs[0] != run)
-				sch_run_stop(s, phase->tasks[i].runs[0]);
-	}
+	if (run->task->phase->step->gang && !sch_job_has_ended(run->task->job))
+		sch_run_stop_gang(s, run->task->phase, run);
 	sch_run_remove(s, run);
 }
 
