--- a/cell/cell_test.c
+++ b/cell/cell_test.c
@@ -5,6 +5,7 @@
 #include "../standin/port.h"
 #include "cell.h"
 #include "fake_kv_test.h"
+#include "tests/fixture.h"
 
 /*
  * Entries and an agent in one event loop, over real connections on loopback.
@@ -391,31 +392,17 @@
 }
 END_TEST
 
-static GLogWriterOutput drop_log(GLogLevelFlags level G_GNUC_UNUSED,
-				 const GLogField *fields G_GNUC_UNUSED,
-				 gsize n G_GNUC_UNUSED,
-				 gpointer data G_GNUC_UNUSED)
-{
-	return G_LOG_WRITER_HANDLED;
-}
-
 int main(void)
 {
 	Suite *suite = suite_create("cell");
 	TCase *tcase = tcase_create("cell");
-	SRunner *runner;
-	int failed;
 
-	g_log_set_writer_func(drop_log, NULL, NULL);
+	fixture_drop_logs();
 	tcase_add_test(tcase, test_job_through_either_entry);
 	tcase_add_test(tcase, test_lost_answers);
 	tcase_add_test(tcase, test_key_taken_away);
 	tcase_add_test(tcase, test_leader_resigns);
 	tcase_add_test(tcase, test_store_down);
 	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return fixture_run(suite);
 }
--- a/colo/colo_test.c
+++ b/colo/colo_test.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 
 #include "colo.h"
+#include "tests/fixture.h"
 
 /* Latency that the model of the header gives, relative to the target. */
 static double latency(double base, double stretch)
@@ -85,17 +86,11 @@
 {
 	Suite *suite = suite_create("colo");
 	TCase *tcase = tcase_create("colo");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_test(tcase, test_blames_the_guilty_image);
 	tcase_add_test(tcase, test_own_load_is_not_interference);
 	tcase_add_test(tcase, test_room);
 	tcase_add_test(tcase, test_slopes_are_bounded);
 	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return fixture_run(suite);
 }
--- a/runs/runs_test.c
+++ b/runs/runs_test.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 
 #include "runs.h"
+#include "tests/fixture.h"
 
 /* One agent whose worker and leader are the test. */
 struct agent {
@@ -280,8 +281,6 @@
 {
 	Suite *suite = suite_create("runs");
 	TCase *tcase = tcase_create("runs");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_test(tcase, test_start_without_answer_is_undone);
 	tcase_add_test(tcase, test_refused_start_is_never_sent_again);
@@ -290,9 +289,5 @@
 	tcase_add_test(tcase, test_lower_fence_is_not_obeyed);
 	tcase_add_test(tcase, test_orders_for_another_incarnation_are_dropped);
 	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return fixture_run(suite);
 }
--- a/sched/model_test.c
+++ b/sched/model_test.c
@@ -1,4 +1,5 @@
 #include "model_test.h"
+#include "tests/fixture.h"
 
 /*
  * Random runs of leaders, agents and workers on a virtual clock: the reducers
@@ -717,28 +718,14 @@
 {
 }
 
-static GLogWriterOutput drop_log(GLogLevelFlags level G_GNUC_UNUSED,
-				 const GLogField *fields G_GNUC_UNUSED,
-				 gsize n G_GNUC_UNUSED,
-				 gpointer data G_GNUC_UNUSED)
-{
-	return G_LOG_WRITER_HANDLED;
-}
-
 int main(void)
 {
 	Suite *suite = suite_create("sched_model");
 	TCase *tcase = tcase_create("model");
-	SRunner *runner;
-	int failed;
 
-	g_log_set_writer_func(drop_log, NULL, NULL);
+	fixture_drop_logs();
 	g_log_set_default_handler(silent, NULL);
 	tcase_add_test(tcase, test_random_faults);
 	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return fixture_run(suite);
 }
--- a/sched/sched_test.c
+++ b/sched/sched_test.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 
 #include "internal.h"
+#include "tests/fixture.h"
 
 /* A leader whose workers, callers and store are the test. */
 struct leader {
@@ -820,22 +821,12 @@
 }
 END_TEST
 
-static GLogWriterOutput drop_log(GLogLevelFlags level G_GNUC_UNUSED,
-				 const GLogField *fields G_GNUC_UNUSED,
-				 gsize n G_GNUC_UNUSED,
-				 gpointer data G_GNUC_UNUSED)
-{
-	return G_LOG_WRITER_HANDLED;
-}
-
 int main(void)
 {
 	Suite *suite = suite_create("sched");
 	TCase *tcase = tcase_create("sched");
-	SRunner *runner;
-	int failed;
 
-	g_log_set_writer_func(drop_log, NULL, NULL);
+	fixture_drop_logs();
 	tcase_add_test(tcase, test_nothing_before_the_commit);
 	tcase_add_test(tcase, test_end_in_the_records_counts_once);
 	tcase_add_test(tcase, test_failure_before_the_table);
@@ -854,9 +845,5 @@
 	tcase_add_test(tcase, test_agent_tells_the_lease_of_a_silent_worker);
 	tcase_add_test(tcase, test_damaged_records);
 	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return fixture_run(suite);
 }
--- a/tests/fixture.h
+++ b/tests/fixture.h
@@ -2,6 +2,7 @@
 #define TESTS_FIXTURE_H
 
 #include <check.h>
+#include <glib.h>
 #include <stdlib.h>
 
 /* What the main functions of the test programs share. */
@@ -36,4 +37,18 @@
 	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
 }
 
+static inline GLogWriterOutput
+fixture_drop_entry(GLogLevelFlags level G_GNUC_UNUSED,
+		   const GLogField *fields G_GNUC_UNUSED,
+		   gsize n_fields G_GNUC_UNUSED, gpointer data G_GNUC_UNUSED)
+{
+	return G_LOG_WRITER_HANDLED;
+}
+
+/* For programs whose code under test logs the faults that tests inject. */
+static inline void fixture_drop_logs(void)
+{
+	g_log_set_writer_func(fixture_drop_entry, NULL, NULL);
+}
+
 #endif
