--- a/colo/colo.c
+++ b/colo/colo.c
@@ -1,7 +1,5 @@
 #include "colo.h"
 
-#include <string.h>
-
 /** Own latency of a task that was not measured yet, of its target. */
 #define BASE_UNKNOWN 0.5
 
@@ -29,8 +27,15 @@
 	guint samples;
 };
 
+/** Images that are told apart; the number of a pair has 16 bits for each. */
+#define MAX_IMAGES 4096
+#define IMAGE_BITS 16
+
 struct colo_table {
-	/** "serving\nfilling" to struct pair. */
+	/** Name to number of an image, and back. */
+	GHashTable *numbers;
+	GPtrArray *names;
+	/** Number of the pair to struct pair. */
 	GHashTable *pairs;
 };
 
@@ -38,64 +43,90 @@
 {
 	struct colo_table *table = g_new0(struct colo_table, 1);
 
-	table->pairs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					     g_free);
+	table->numbers = g_hash_table_new(g_str_hash, g_str_equal);
+	table->names = g_ptr_array_new_with_free_func(g_free);
+	table->pairs = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	return table;
 }
 
 void colo_table_free(struct colo_table *table)
 {
 	g_hash_table_unref(table->pairs);
+	g_hash_table_unref(table->numbers);
+	g_ptr_array_unref(table->names);
 	g_free(table);
 }
 
-static struct pair *find(const struct colo_table *table, const char *serving,
-			 const char *filling)
+guint colo_image(struct colo_table *table, const char *name)
+{
+	gpointer number;
+	char *copy;
+
+	if (g_hash_table_lookup_extended(table->numbers, name, NULL, &number))
+		return GPOINTER_TO_UINT(number);
+	if (table->names->len == MAX_IMAGES)
+		return MAX_IMAGES - 1;
+	copy = g_strdup(name);
+	g_hash_table_insert(table->numbers, copy,
+			    GUINT_TO_POINTER(table->names->len));
+	g_ptr_array_add(table->names, copy);
+	return table->names->len - 1;
+}
+
+const char *colo_image_name(const struct colo_table *table, guint image)
 {
-	g_autofree char *key = g_strconcat(serving, "\n", filling, NULL);
+	g_assert(image < table->names->len);
+	return table->names->pdata[image];
+}
 
-	return g_hash_table_lookup(table->pairs, key);
+static gpointer pair_key(guint serving, guint filling)
+{
+	return GUINT_TO_POINTER(serving << IMAGE_BITS | filling);
+}
+
+static struct pair *find(const struct colo_table *table, guint serving,
+			 guint filling)
+{
+	return g_hash_table_lookup(table->pairs, pair_key(serving, filling));
 }
 
-static struct pair *find_or_add(struct colo_table *table, const char *serving,
-				const char *filling)
+static struct pair *find_or_add(struct colo_table *table, guint serving,
+				guint filling)
 {
 	struct pair *pair = find(table, serving, filling);
 
 	if (!pair) {
 		pair = g_new0(struct pair, 1);
 		pair->slope = SLOPE_UNKNOWN;
-		g_hash_table_insert(table->pairs,
-				    g_strconcat(serving, "\n", filling, NULL),
+		g_hash_table_insert(table->pairs, pair_key(serving, filling),
 				    pair);
 	}
 	return pair;
 }
 
-double colo_slope(const struct colo_table *table, const char *serving,
-		  const char *filling)
+double colo_slope(const struct colo_table *table, guint serving, guint filling)
 {
 	const struct pair *pair = find(table, serving, filling);
 
 	return pair ? pair->slope : SLOPE_UNKNOWN;
 }
 
-gboolean colo_is_known(const struct colo_table *table, const char *serving,
-		       const char *filling)
+gboolean colo_is_known(const struct colo_table *table, guint serving,
+		       guint filling)
 {
 	return find(table, serving, filling) != NULL;
 }
 
-void colo_set_slope(struct colo_table *table, const char *serving,
-		    const char *filling, double slope)
+void colo_set_slope(struct colo_table *table, guint serving, guint filling,
+		    double slope)
 {
 	find_or_add(table, serving, filling)->slope = CLAMP(slope, 0,
 							    SLOPE_MAX);
 }
 
 void colo_foreach(const struct colo_table *table,
-		  void (*fn)(void *ctx, const char *serving,
-			     const char *filling, double slope),
+		  void (*fn)(void *ctx, guint serving, guint filling,
+			     double slope),
 		  void *ctx)
 {
 	GHashTableIter iter;
@@ -105,15 +136,14 @@
 	g_hash_table_iter_init(&iter, table->pairs);
 	while (g_hash_table_iter_next(&iter, &key, &value)) {
 		const struct pair *pair = value;
-		const char *filling = strchr(key, '\n') + 1;
-		g_autofree char *serving =
-			g_strndup(key, (gsize)(filling - 1 - (char *)key));
+		guint number = GPOINTER_TO_UINT(key);
 
-		fn(ctx, serving, filling, pair->slope);
+		fn(ctx, number >> IMAGE_BITS, number & ((1U << IMAGE_BITS) - 1),
+		   pair->slope);
 	}
 }
 
-double colo_stretch(const struct colo_table *table, const char *serving,
+double colo_stretch(const struct colo_table *table, guint serving,
 		    const struct colo_use *uses, size_t n)
 {
 	double stretch = 0;
@@ -133,7 +163,7 @@
 }
 
 void colo_learn(struct colo_table *table, struct colo_serving *serving,
-		const char *image, double ratio, const struct colo_use *uses,
+		guint image, double ratio, const struct colo_use *uses,
 		size_t n)
 {
 	double stretch = colo_stretch(table, image, uses, n);
--- a/colo/colo.h
+++ b/colo/colo.h
@@ -24,24 +24,31 @@
 struct colo_table *colo_table_new(void);
 void colo_table_free(struct colo_table *table);
 
+/**
+ * Number of an image in the table, by which the other functions know it: pairs
+ * are looked up for each candidate worker of each task. Images beyond a bound
+ * share one number.
+ */
+guint colo_image(struct colo_table *table, const char *name);
+const char *colo_image_name(const struct colo_table *table, guint image);
+
 /** Slope of a pair of images, per processor. */
-double colo_slope(const struct colo_table *table, const char *serving,
-		  const char *filling);
-void colo_set_slope(struct colo_table *table, const char *serving,
-		    const char *filling, double slope);
+double colo_slope(const struct colo_table *table, guint serving, guint filling);
+void colo_set_slope(struct colo_table *table, guint serving, guint filling,
+		    double slope);
 /** FALSE if the pair was never seen. */
-gboolean colo_is_known(const struct colo_table *table, const char *serving,
-		       const char *filling);
+gboolean colo_is_known(const struct colo_table *table, guint serving,
+		       guint filling);
 
 /** Calls fn for each pair that is known. */
 void colo_foreach(const struct colo_table *table,
-		  void (*fn)(void *ctx, const char *serving,
-			     const char *filling, double slope),
+		  void (*fn)(void *ctx, guint serving, guint filling,
+			     double slope),
 		  void *ctx);
 
 /** Processors that the tasks of one filling image use on a VM. */
 struct colo_use {
-	const char *image;
+	guint image;
 	double cpus;
 };
 
@@ -59,7 +66,7 @@
 };
 
 /** Stretch of the serving image by the uses, 0 for none. */
-double colo_stretch(const struct colo_table *table, const char *serving,
+double colo_stretch(const struct colo_table *table, guint serving,
 		    const struct colo_use *uses, size_t n);
 
 /** Largest stretch with which the task stays below its limit. */
@@ -67,7 +74,7 @@
 
 /** Takes a latency, relative to the target, and learns from it. */
 void colo_learn(struct colo_table *table, struct colo_serving *serving,
-		const char *image, double ratio, const struct colo_use *uses,
+		guint image, double ratio, const struct colo_use *uses,
 		size_t n);
 
 #endif
--- a/colo/colo_test.c
+++ b/colo/colo_test.c
@@ -10,6 +10,13 @@
 	return base / (1 - stretch);
 }
 
+static double slope_of(struct colo_table *table, const char *serving,
+		       const char *filling)
+{
+	return colo_slope(table, colo_image(table, serving),
+			  colo_image(table, filling));
+}
+
 /* Guards against all neighbours being blamed for what one of them does. */
 START_TEST(test_blames_the_guilty_image)
 {
@@ -21,16 +28,16 @@
 		double guilty = i % 3 ? 6.0 : 0;
 		double harmless = i % 2 ? 10.0 : 3.0;
 		struct colo_use uses[] = {
-			{ "guilty", guilty },
-			{ "harmless", harmless },
+			{ colo_image(table, "guilty"), guilty },
+			{ colo_image(table, "harmless"), harmless },
 		};
 
 		serving.sibling_base = 0.3;
-		colo_learn(table, &serving, "web", latency(0.3, 0.08 * guilty),
-			   uses, 2);
+		colo_learn(table, &serving, colo_image(table, "web"),
+			   latency(0.3, 0.08 * guilty), uses, 2);
 	}
-	ck_assert_double_gt(colo_slope(table, "web", "guilty"), 0.05);
-	ck_assert_double_lt(colo_slope(table, "web", "harmless"), 0.01);
+	ck_assert_double_gt(slope_of(table, "web", "guilty"), 0.05);
+	ck_assert_double_lt(slope_of(table, "web", "harmless"), 0.01);
 	colo_table_free(table);
 }
 END_TEST
@@ -40,16 +47,17 @@
 {
 	struct colo_table *table = colo_table_new();
 	struct colo_serving serving = { 0 };
-	struct colo_use uses[] = { { "fill", 8 } };
+	struct colo_use uses[] = { { colo_image(table, "fill"), 8 } };
 	guint i;
 
 	for (i = 0; i < 200; i++) {
 		double load = 0.3 + 0.3 * (i % 28) / 28;
 
 		serving.sibling_base = load;
-		colo_learn(table, &serving, "web", load, uses, 1);
+		colo_learn(table, &serving, colo_image(table, "web"), load,
+			   uses, 1);
 	}
-	ck_assert_double_lt(colo_slope(table, "web", "fill"), 0.005);
+	ck_assert_double_lt(slope_of(table, "web", "fill"), 0.005);
 	colo_table_free(table);
 }
 END_TEST
@@ -70,14 +78,36 @@
 START_TEST(test_slopes_are_bounded)
 {
 	struct colo_table *table = colo_table_new();
+	guint a = colo_image(table, "a");
+	guint b = colo_image(table, "b");
+
+	ck_assert(!colo_is_known(table, a, b));
+	ck_assert_double_gt(colo_slope(table, a, b), 0);
+	colo_set_slope(table, a, b, -3);
+	ck_assert_double_eq(colo_slope(table, a, b), 0);
+	ck_assert(colo_is_known(table, a, b));
+	colo_set_slope(table, a, b, 50);
+	ck_assert_double_le(colo_slope(table, a, b), 1);
+	colo_table_free(table);
+}
+END_TEST
 
-	ck_assert(!colo_is_known(table, "a", "b"));
-	ck_assert_double_gt(colo_slope(table, "a", "b"), 0);
-	colo_set_slope(table, "a", "b", -3);
-	ck_assert_double_eq(colo_slope(table, "a", "b"), 0);
-	ck_assert(colo_is_known(table, "a", "b"));
-	colo_set_slope(table, "a", "b", 50);
-	ck_assert_double_le(colo_slope(table, "a", "b"), 1);
+/* Guards against names of callers that fill the memory of the leader. */
+START_TEST(test_images_are_bounded)
+{
+	struct colo_table *table = colo_table_new();
+	guint first = colo_image(table, "image-0");
+	guint most = 0;
+	guint i;
+
+	for (i = 0; i < 10000; i++) {
+		g_autofree char *name = g_strdup_printf("image-%u", i);
+
+		most = MAX(most, colo_image(table, name));
+	}
+	ck_assert_uint_eq(colo_image(table, "image-0"), first);
+	ck_assert_str_eq(colo_image_name(table, first), "image-0");
+	ck_assert_uint_lt(most, 5000);
 	colo_table_free(table);
 }
 END_TEST
@@ -91,6 +121,7 @@
 	tcase_add_test(tcase, test_own_load_is_not_interference);
 	tcase_add_test(tcase, test_room);
 	tcase_add_test(tcase, test_slopes_are_bounded);
+	tcase_add_test(tcase, test_images_are_bounded);
 	suite_add_tcase(suite, tcase);
 	return fixture_run(suite);
 }
--- a/runs/internal.h
+++ b/runs/internal.h
@@ -40,7 +40,7 @@
 	guint32 attempt;
 	guint32 target_ms;
 	gboolean fills;
-	char *image;
+	guint image;
 	double cpus;
 	/** Of a task that serves. */
 	struct colo_serving serving;
--- a/runs/orders.c
+++ b/runs/orders.c
@@ -88,8 +88,7 @@
 		info->percent = 100;
 		info->share = 1;
 	}
-	g_free(info->image);
-	info->image = g_strdup(start->image);
+	info->image = colo_image(r->colo, start->image);
 	info->cpus = (double)start->cpu_milli / 1000;
 	info->attempt = start->run->attempt;
 	info->target_ms = start->target_ms;
--- a/runs/pace.c
+++ b/runs/pace.c
@@ -39,10 +39,7 @@
 
 void runs_info_free(gpointer data)
 {
-	struct runs_info *info = data;
-
-	g_free(info->image);
-	g_free(info);
+	g_free(data);
 }
 
 static struct runs_info *row_info(const struct runs *r, guint i)
--- a/runs/runs.c
+++ b/runs/runs.c
@@ -231,8 +231,9 @@
 	r->lease_until_ms = MAX(r->lease_until_ms, orders->lease_until_ms);
 	r->ended_through = MAX(r->ended_through, orders->ended_through);
 	for (i = 0; i < orders->n_pairs; i++)
-		colo_set_slope(r->colo, orders->pairs[i]->serving,
-			       orders->pairs[i]->filling,
+		colo_set_slope(r->colo,
+			       colo_image(r->colo, orders->pairs[i]->serving),
+			       colo_image(r->colo, orders->pairs[i]->filling),
 			       orders->pairs[i]->slope);
 	for (i = 0; i < orders->n_bases; i++) {
 		struct runs_info *info =
@@ -254,19 +255,24 @@
 	return n;
 }
 
-static void add_pair(void *ctx, const char *serving, const char *filling,
-		     double slope)
+/* The report being made, and the table that its pairs are from. */
+struct pairs_ctx {
+	const struct colo_table *colo;
+	struct Rp__VmReport *body;
+};
+
+static void add_pair(void *ctx, guint serving, guint filling, double slope)
 {
-	struct Rp__VmReport *body = ctx;
+	struct pairs_ctx *to = ctx;
 	struct Rp__ImagePair *pair = g_malloc(sizeof(*pair));
 
 	rp__image_pair__init(pair);
-	wire_set_string(&pair->serving, serving);
-	wire_set_string(&pair->filling, filling);
+	wire_set_string(&pair->serving, colo_image_name(to->colo, serving));
+	wire_set_string(&pair->filling, colo_image_name(to->colo, filling));
 	pair->slope = slope;
-	body->pairs = g_renew(struct Rp__ImagePair *, body->pairs,
-			      body->n_pairs + 1);
-	body->pairs[body->n_pairs++] = pair;
+	to->body->pairs = g_renew(struct Rp__ImagePair *, to->body->pairs,
+				  to->body->n_pairs + 1);
+	to->body->pairs[to->body->n_pairs++] = pair;
 }
 
 static void report(struct runs *r)
@@ -276,6 +282,7 @@
 		.frame = wire_frame_new(RP__FRAME__BODY_VM_REPORT),
 	};
 	struct Rp__VmReport *body = effect.frame->vm_report;
+	struct pairs_ctx pairs = { .colo = r->colo, .body = body };
 
 	body->fence = r->fence;
 	body->agent_up_ms = (guint32)MIN(r->now_ms - r->began_ms, G_MAXINT32);
@@ -290,7 +297,7 @@
 						(void ***)&body->answers);
 	}
 	if (r->pairs_due)
-		colo_foreach(r->colo, add_pair, body);
+		colo_foreach(r->colo, add_pair, &pairs);
 	r->pairs_due = FALSE;
 	if (r->lists_due && r->lists_valid) {
 		size_t i;
--- a/sched/call.c
+++ b/sched/call.c
@@ -35,6 +35,7 @@
 	};
 
 	g_array_append_val(job->waiters, waiter);
+	s->n_waiters++;
 }
 
 static void log_submission(struct sch *s, const struct sch_job *job)
@@ -246,6 +247,7 @@
 		}
 		sch_reply(s, waiter->call_ref, STATUS_OK, job->shown, 0, 0);
 		g_array_remove_index(job->waiters, i);
+		s->n_waiters--;
 	}
 }
 
@@ -265,5 +267,6 @@
 		sch_reply(s, waiter->call_ref, STATUS_UNKNOWN,
 			  RP__JOB_STATE__JOB_STATE_NONE, 0, 0);
 		g_array_remove_index(job->waiters, i);
+		s->n_waiters--;
 	}
 }
--- a/sched/commit.c
+++ b/sched/commit.c
@@ -162,6 +162,7 @@
 			  g_array_index(job->waiters, struct sch_waiter, i)
 				  .call_ref,
 			  503, RP__JOB_STATE__JOB_STATE_NONE, 0, 1);
+	s->n_waiters -= job->waiters->len;
 	g_array_set_size(job->waiters, 0);
 	g_queue_remove(&s->dirty, job);
 	g_queue_remove(&s->urgent, job);
@@ -206,6 +207,7 @@
 					  .call_ref,
 				  job->sent ? 504 : 503,
 				  RP__JOB_STATE__JOB_STATE_NONE, 0, 1);
+		s->n_waiters -= job->waiters->len;
 		g_array_set_size(job->waiters, 0);
 	}
 }
--- a/sched/interfere.c
+++ b/sched/interfere.c
@@ -18,13 +18,12 @@
 /** Images that fill on one VM; more are counted together with the last. */
 #define MAX_USES 16
 
-static void add_use(struct colo_use *uses, size_t *n, const char *image,
-		    double cpus)
+static void add_use(struct colo_use *uses, size_t *n, guint image, double cpus)
 {
 	size_t i;
 
 	for (i = 0; i < *n; i++)
-		if (!strcmp(uses[i].image, image))
+		if (uses[i].image == image)
 			break;
 	if (i == *n && *n < MAX_USES) {
 		uses[i].image = image;
@@ -79,7 +78,7 @@
 		run->cpus = (double)row->figure / 1000;
 		if (run->cpus > FAIR_PART * declared_cpus(run) || !run->fair_ms)
 			run->fair_ms = s->now_ms;
-		add_use(uses, &n, run->task->phase->step->image, run->cpus);
+		add_use(uses, &n, run->task->phase->image, run->cpus);
 	}
 	for (i = 0; i < report->n_running; i++) {
 		const struct Rp__RunRow *row = report->running[i];
@@ -93,10 +92,8 @@
 				     run->task->phase->step->target_ms;
 		run->figure_ms = s->now_ms;
 		run->serving.sibling_base = least_ratio(s, run->task->phase);
-		colo_learn(
-			s->colo, &run->serving, run->task->phase->step->image,
-			(double)row->figure / run->task->phase->step->target_ms,
-			uses, n);
+		colo_learn(s->colo, &run->serving, run->task->phase->image,
+			   run->serving.ratio, uses, n);
 	}
 }
 
@@ -106,64 +103,97 @@
 
 	for (i = 0; i < report->n_pairs; i++) {
 		const struct Rp__ImagePair *pair = report->pairs[i];
+		guint serving = colo_image(s->colo, pair->serving);
+		guint filling = colo_image(s->colo, pair->filling);
 		double slope = pair->slope;
 
 		/* Agents know only some of the samples each. */
-		if (colo_is_known(s->colo, pair->serving, pair->filling))
-			slope = (slope + colo_slope(s->colo, pair->serving,
-						    pair->filling)) /
+		if (colo_is_known(s->colo, serving, filling))
+			slope = (slope +
+				 colo_slope(s->colo, serving, filling)) /
 				2;
-		colo_set_slope(s->colo, pair->serving, pair->filling, slope);
+		colo_set_slope(s->colo, serving, filling, slope);
 	}
 }
 
-/* Processors that tasks which fill can use there. */
-static double unused_cpus(const struct sch_vm *vm)
+void sch_interfere_clear(struct sch_vm *vm)
 {
-	double used = 0;
+	if (vm->room.images)
+		g_array_unref(vm->room.images);
+}
+
+/* Of several tasks of an image, the one with the least room counts. */
+static void add_image_room(GArray *images, guint image, double room)
+{
+	struct sch_image_room entry = { .image = image, .room = room };
 	guint i;
 
-	for (i = 0; i < vm->runs->len; i++) {
-		const struct sch_run *run = vm->runs->pdata[i];
-		const struct Rp__StepSpec *step = run->task->phase->step;
+	for (i = 0; i < images->len; i++) {
+		struct sch_image_room *known =
+			&g_array_index(images, struct sch_image_room, i);
 
-		if (!step->fills)
-			used += declared_cpus(run) *
-				(step->target_ms ? SERVING_LOAD : 1);
+		if (known->image != image)
+			continue;
+		known->room = MIN(known->room, room);
+		return;
 	}
-	return (double)vm->capacity.cpu_milli / 1000 - used;
+	g_array_append_val(images, entry);
 }
 
-double sch_interfere_share(struct sch *s, const struct sch_vm *vm,
-			   const struct Rp__StepSpec *step)
+static void measure_room(struct sch *s, struct sch_vm *vm)
 {
-	double cpus = (double)step->need->cpu_milli / 1000;
-	double unused = unused_cpus(vm) - (double)vm->fill_milli / 1000;
-	double share = CLAMP(unused / MAX(cpus, 0.001), 0, 1);
+	struct sch_room *room = &vm->room;
 	struct colo_use uses[MAX_USES];
 	size_t n = 0;
 	guint i;
 
+	room->valid = TRUE;
+	room->unused_cpus = (double)vm->capacity.cpu_milli / 1000;
+	if (!room->images)
+		room->images = g_array_new(FALSE, FALSE,
+					   sizeof(struct sch_image_room));
+	g_array_set_size(room->images, 0);
 	for (i = 0; i < vm->runs->len; i++) {
 		const struct sch_run *run = vm->runs->pdata[i];
+		const struct sch_phase *phase = run->task->phase;
 
-		if (run->task->phase->step->fills)
-			add_use(uses, &n, run->task->phase->step->image,
-				declared_cpus(run));
+		if (phase->step->fills)
+			add_use(uses, &n, phase->image, declared_cpus(run));
+		room->unused_cpus -= declared_cpus(run) *
+				     (phase->step->target_ms ? SERVING_LOAD
+							     : 1);
 	}
 	for (i = 0; i < vm->runs->len; i++) {
 		const struct sch_run *run = vm->runs->pdata[i];
-		const struct Rp__StepSpec *other = run->task->phase->step;
-		double slope;
-		double room;
+		const struct sch_phase *phase = run->task->phase;
+
+		if (phase->step->target_ms)
+			add_image_room(room->images, phase->image,
+				       colo_room(&run->serving) -
+					       colo_stretch(s->colo,
+							    phase->image, uses,
+							    n));
+	}
+}
 
-		if (!other->target_ms)
-			continue;
-		slope = colo_slope(s->colo, other->image, step->image);
-		room = colo_room(&run->serving) -
-		       colo_stretch(s->colo, other->image, uses, n);
-		if (slope * cpus > MAX(room, 0))
-			share = MIN(share, MAX(room, 0) / (slope * cpus));
+double sch_interfere_share(struct sch *s, struct sch_vm *vm,
+			   const struct sch_phase *phase)
+{
+	double cpus = (double)phase->step->need->cpu_milli / 1000;
+	double share;
+	guint i;
+
+	if (!vm->room.valid)
+		measure_room(s, vm);
+	share = CLAMP(vm->room.unused_cpus / MAX(cpus, 0.001), 0, 1);
+	for (i = 0; i < vm->room.images->len; i++) {
+		const struct sch_image_room *image = &g_array_index(
+			vm->room.images, struct sch_image_room, i);
+		double slope = colo_slope(s->colo, image->image, phase->image);
+		double room = MAX(image->room, 0);
+
+		if (slope * cpus > room)
+			share = MIN(share, room / (slope * cpus));
 	}
 	return share;
 }
@@ -181,14 +211,15 @@
 }
 
 static void add_pair(struct sch *s, struct Rp__VmOrders *orders,
-		     const char *serving, const char *filling)
+		     const struct sch_phase *serving,
+		     const struct sch_phase *filling)
 {
 	struct Rp__ImagePair *pair = g_malloc(sizeof(*pair));
 
 	rp__image_pair__init(pair);
-	wire_set_string(&pair->serving, serving);
-	wire_set_string(&pair->filling, filling);
-	pair->slope = colo_slope(s->colo, serving, filling);
+	wire_set_string(&pair->serving, serving->step->image);
+	wire_set_string(&pair->filling, filling->step->image);
+	pair->slope = colo_slope(s->colo, serving->image, filling->image);
 	orders->pairs = g_renew(struct Rp__ImagePair *, orders->pairs,
 				orders->n_pairs + 1);
 	orders->pairs[orders->n_pairs++] = pair;
@@ -225,10 +256,10 @@
 
 			if (filling->fills &&
 			    is_new(orders, serving->image, filling->image) &&
-			    colo_is_known(s->colo, serving->image,
-					  filling->image))
-				add_pair(s, orders, serving->image,
-					 filling->image);
+			    colo_is_known(s->colo, run->task->phase->image,
+					  other->task->phase->image))
+				add_pair(s, orders, run->task->phase,
+					 other->task->phase);
 		}
 	}
 }
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -33,6 +33,21 @@
 	gint64 accelerators;
 };
 
+/** Stretch that a serving image on a VM can still take. */
+struct sch_image_room {
+	guint image;
+	double room;
+};
+
+/** Room on a VM for more tasks that fill. */
+struct sch_room {
+	gboolean valid;
+	/** Processors that neither serving nor filling tasks take. */
+	double unused_cpus;
+	/** Of struct sch_image_room, one for each image that serves. */
+	GArray *images;
+};
+
 /** A worker, and the VM that it runs on. */
 struct sch_vm {
 	/** Of the agent. */
@@ -59,8 +74,10 @@
 	struct sch_amount used;
 	/** Declared processors of tasks that fill. */
 	gint64 fill_milli;
-	/** Runs of tasks that serve. */
-	guint serving;
+	/** Number of the last change that may let more tasks start here. */
+	guint64 changed;
+	/** Room for tasks that fill; computed again after a change. */
+	struct sch_room room;
 	gboolean draining;
 	/** End of the drain, boot clock; 0 if not told. */
 	gint64 leaves_ms;
@@ -182,6 +199,14 @@
 	guint n_timed;
 	/** Longest chain of work from here to the job's end. */
 	gint64 chain_ms;
+	/** Number of the step's image. */
+	guint image;
+	/** Failed runs of all its tasks. */
+	guint failures;
+	/** When all workers were last tried in vain, and the number of the
+	 * change of a worker up to which they were tried. */
+	gint64 tried_ms;
+	guint64 tried_change;
 };
 
 struct sch_occurrence {
@@ -212,6 +237,8 @@
 	guint n_occurrences;
 	guint occurrences_left;
 	guint n_runs;
+	/** Longest chain of work of one occurrence, ms. */
+	gint64 chain_ms;
 	/** A task has begun on a worker, as far as is known. */
 	gboolean started;
 	/** A run was chosen, so there is progress to write. */
@@ -244,6 +271,13 @@
 	guint n_timed;
 };
 
+/** A worker that has room for a step's tasks, and how well it suits them. */
+struct sch_fit {
+	struct sch_vm *vm;
+	/** Lower is better. */
+	double points;
+};
+
 struct sch {
 	struct sch_options options;
 	gint64 now_ms;
@@ -251,6 +285,8 @@
 	gint64 elected_ms;
 	gint64 proved_ms;
 	GPtrArray *queues;
+	/** Name to struct sch_queue of queues. */
+	GHashTable *queue_names;
 	/** id to struct sch_job; owned. */
 	GHashTable *jobs;
 	/** Jobs that have not ended, in the order of acceptance. */
@@ -275,6 +311,12 @@
 	GQueue ended;
 	gboolean place_due;
 	gint64 placed_ms;
+	/** Number of the last change of a worker. */
+	guint64 changes;
+	/** Workers that have room for the step at hand: struct sch_fit. */
+	GArray *fits;
+	/** Calls that wait for a write. */
+	guint n_waiters;
 	gint64 moved_ms;
 	GArray *effects;
 	struct sch_stats stats;
@@ -316,8 +358,6 @@
 void sch_job_end(struct sch *s, struct sch_job *job, Rp__JobState state);
 /** Closes jobs that have ended and of which nothing runs any more. */
 void sch_job_close_ended(struct sch *s);
-/** Longest chain of work of the job, as declared and learned, ms. */
-gint64 sch_job_chain_ms(struct sch *s, const struct sch_job *job);
 /** Calls fn for each task of the job whose occurrence has come. */
 void sch_job_foreach_task(const struct sch_job *job,
 			  void (*fn)(void *ctx, struct sch_task *task),
@@ -361,10 +401,24 @@
 gboolean sch_vm_is_usable(const struct sch *s, const struct sch_vm *vm);
 /** Orders the worker to stop a run, known here or not. */
 void sch_vm_order_stop(struct sch_vm *vm, const char *task, guint32 attempt);
+/** Notes that more tasks may start on the worker than before. */
+void sch_vm_changed(struct sch *s, struct sch_vm *vm);
 gboolean sch_vm_has_label(const struct sch_vm *vm, const char *label);
 void sch_vm_fault(struct sch *s, struct sch_vm *vm, struct sch_job *job);
 void sch_vm_clear_faults(struct sch_vm *vm);
 
+/* order.c */
+/** A step with tasks that could start. */
+struct sch_candidate {
+	struct sch_phase *phase;
+	const struct sch_queue *queue;
+	guint urgency;
+	gint64 order;
+};
+
+/** Steps with idle tasks, the most urgent first; struct sch_candidate. */
+GArray *sch_order(struct sch *s);
+
 /* place.c */
 void sch_place(struct sch *s);
 /** Plans a copy of the run's task on another worker, if one has room. */
@@ -380,8 +434,9 @@
 /** Takes over what an agent learned under earlier leaders. */
 void sch_interfere_take(struct sch *s, const struct Rp__VmReport *report);
 /** Share of its pace, 0 to 1, that a task that fills could have on the VM. */
-double sch_interfere_share(struct sch *s, const struct sch_vm *vm,
-			   const struct Rp__StepSpec *step);
+double sch_interfere_share(struct sch *s, struct sch_vm *vm,
+			   const struct sch_phase *phase);
+void sch_interfere_clear(struct sch_vm *vm);
 /** Adds the slopes of the images on the VM. */
 void sch_interfere_tell(struct sch *s, const struct sch_vm *vm,
 			struct Rp__VmOrders *orders);
@@ -389,7 +444,7 @@
 /* move.c */
 /** Stops runs that are better off elsewhere. */
 void sch_move(struct sch *s);
-/** Frees room for a more urgent step. */
+/** Stops as many less urgent runs as the step's idle tasks need. */
 void sch_preempt(struct sch *s, const struct sch_phase *phase,
 		 guint32 priority);
 
--- a/sched/job.c
+++ b/sched/job.c
@@ -49,8 +49,8 @@
 	return tasks > SCH_MAX_TASKS ? "too many tasks" : NULL;
 }
 
-static void init_phases(struct sch_job *job, struct sch_occurrence *occurrence,
-			guint32 number)
+static void init_phases(struct sch *s, struct sch_job *job,
+			struct sch_occurrence *occurrence, guint32 number)
 {
 	size_t i;
 	guint k;
@@ -62,6 +62,7 @@
 
 		phase->job = job;
 		phase->step = job->spec->steps[i];
+		phase->image = colo_image(s->colo, phase->step->image);
 		phase->occurrence = number;
 		phase->number = (guint32)i;
 		phase->n_tasks = phase->step->replicas;
@@ -165,7 +166,7 @@
 	    (size_t)step >= (*job)->spec->n_steps)
 		return NULL;
 	if (!(*job)->occurrences[occurrence].phases)
-		init_phases(*job, &(*job)->occurrences[occurrence],
+		init_phases(s, *job, &(*job)->occurrences[occurrence],
 			    (guint32)occurrence);
 	phase = &(*job)->occurrences[occurrence].phases[step];
 	return index < phase->n_tasks ? &phase->tasks[index] : NULL;
@@ -216,6 +217,7 @@
 			before->chain_ms = MAX(before->chain_ms,
 					       phase->chain_ms);
 		}
+		job->chain_ms = MAX(job->chain_ms, phase->chain_ms);
 	}
 }
 
@@ -230,7 +232,7 @@
 			return;
 		occurrence->due_ms = s->now_ms;
 		if (!occurrence->phases)
-			init_phases(job, occurrence, number);
+			init_phases(s, job, occurrence, number);
 		set_chains(s, job, occurrence);
 	}
 	g_assert(occurrence->phases);
@@ -348,23 +350,3 @@
 	}
 	g_ptr_array_set_size(s->closing, 0);
 }
-
-gint64 sch_job_chain_ms(struct sch *s, const struct sch_job *job)
-{
-	const struct sch_demand *demand = sch_demand(s, job->queue);
-	size_t n = job->spec->n_steps;
-	g_autofree gint64 *chain = g_new0(gint64, n);
-	gint64 longest = 0;
-	size_t i;
-	size_t k;
-
-	for (i = 0; i < n; i++) {
-		const struct Rp__StepSpec *step = job->spec->steps[i];
-
-		for (k = 0; k < step->n_after; k++)
-			chain[i] = MAX(chain[i], chain[step->after[k]]);
-		chain[i] += sch_demand_expect_ms(demand, step->estimate_ms);
-		longest = MAX(longest, chain[i]);
-	}
-	return longest;
-}
--- a/sched/move.c
+++ b/sched/move.c
@@ -183,40 +183,65 @@
 	return milli;
 }
 
+/** A run that may be stopped, and the work that is lost with it. */
+struct victim {
+	struct sch_run *run;
+	gint64 cost;
+};
+
+static int compare_victims(gconstpointer a, gconstpointer b)
+{
+	const struct victim *x = a;
+	const struct victim *y = b;
+
+	if (x->cost != y->cost)
+		return x->cost < y->cost ? -1 : 1;
+	return strcmp(x->run->name, y->run->name);
+}
+
+/* Returns the processors that are about to become free on the VM. */
+static gint64 add_victims(struct sch *s, GArray *victims,
+			  const struct sch_vm *vm, guint32 priority)
+{
+	guint i;
+
+	for (i = 0; i < vm->runs->len; i++) {
+		struct victim victim = { .run = vm->runs->pdata[i] };
+
+		victim.cost = stop_cost(s, victim.run, priority);
+		if (victim.cost >= 0)
+			g_array_append_val(victims, victim);
+	}
+	return stopping_milli(vm);
+}
+
 void sch_preempt(struct sch *s, const struct sch_phase *phase, guint32 priority)
 {
 	gint64 wanted = phase->step->need->cpu_milli * phase->n_idle;
+	g_autoptr(GArray) victims = NULL;
 	GHashTableIter iter;
 	gpointer value;
-	struct sch_run *victim = NULL;
-	gint64 least = G_MAXINT64;
+	guint i;
 
 	if (phase->step->fills)
 		return;
+	victims = g_array_new(FALSE, FALSE, sizeof(struct victim));
 	g_hash_table_iter_init(&iter, s->vms);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct sch_vm *vm = value;
-		guint i;
-
-		if (!sch_vm_is_usable(s, vm))
-			continue;
-		wanted -= stopping_milli(vm);
-		for (i = 0; i < vm->runs->len; i++) {
-			gint64 cost = stop_cost(s, vm->runs->pdata[i],
-						priority);
-
-			if (cost < 0 || cost >= least)
-				continue;
-			least = cost;
-			victim = vm->runs->pdata[i];
-		}
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (sch_vm_is_usable(s, value))
+			wanted -= add_victims(s, victims, value, priority);
+	g_array_sort(victims, compare_victims);
+	for (i = 0; i < victims->len && wanted > 0; i++) {
+		struct sch_run *run =
+			g_array_index(victims, struct victim, i).run;
+
+		s->stats.preempted++;
+		g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "JOB_ID",
+				 run->task->job->id, "VM", run->vm->name,
+				 "MESSAGE",
+				 "%s stopped for job %s of priority %u",
+				 run->name, phase->job->id, priority);
+		wanted -= run->taken.cpu_milli;
+		sch_run_stop(s, run);
 	}
-	if (!victim || wanted <= 0)
-		return;
-	s->stats.preempted++;
-	g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "JOB_ID",
-			 victim->task->job->id, "VM", victim->vm->name,
-			 "MESSAGE", "%s stopped for job %s of priority %u",
-			 victim->name, phase->job->id, priority);
-	sch_run_stop(s, victim);
 }
--- a/sched/place.c
+++ b/sched/place.c
@@ -1,18 +1,12 @@
 #include "internal.h"
 
 /*
- * Which step's tasks start next, and on which worker.
- *
- * Order: by the queue's priority; of one priority, first the steps whose job
- * can still meet its objective, the one with the least slack first (tasks that
- * fill: the least work), then the late ones, the one with the least work left
- * first. Answers the load in which batch jobs queue for several times their
- * length: by slack alone, each job would wait until it is late.
+ * On which workers the tasks of a step start. Workers are tried in passes over
+ * all steps that wait. A step that no worker has room for tries only workers
+ * that have changed, and all of them at longer intervals, so that a pass costs
+ * little when many steps wait.
  */
 
-/** After this many times its objective a job is of little use. */
-#define HOPELESS_FACTOR 3
-
 /** A pass over all waiting steps is made at most this often. */
 #define PLACE_INTERVAL_MS 15
 
@@ -28,135 +22,12 @@
 /** Tasks that fill wait for a worker that lets them have this share. */
 #define MIN_FILL_SHARE 0.65
 
+/** Added for a worker where the task has failed; above all other points. */
+#define FAILED_HERE_POINTS 8
+
 /** The first task of a job waits for such a worker only so long. */
 #define STARVED_MS 1500
 
-enum urgency {
-	URGENCY_IN_TIME,
-	URGENCY_LATE,
-	/** Tasks that last keep their room for long, so short ones go first. */
-	URGENCY_LASTS,
-	URGENCY_HOPELESS,
-};
-
-struct candidate {
-	struct sch_phase *phase;
-	const struct sch_queue *queue;
-	enum urgency urgency;
-	gint64 order;
-};
-
-static gint64 objective_ms(struct sch *s, const struct sch_job *job,
-			   const struct sch_queue *queue)
-{
-	return (gint64)(queue->slack_factor *
-			(double)sch_job_chain_ms(s, job)) +
-	       queue->target_ms;
-}
-
-/*
- * Core-milliseconds of a step that fills, to the job's end as if it went on as
- * wide. When fills queue, the job with the least is done first: they get
- * part of their pace only, so slack at full pace says little, and many small
- * jobs are done in the time of a large one.
- */
-static gint64 work_left(const struct sch_phase *phase)
-{
-	return phase->chain_ms * phase->n_tasks * phase->step->need->cpu_milli /
-	       1000;
-}
-
-static void add_candidate(struct sch *s, GArray *candidates,
-			  struct sch_phase *phase,
-			  const struct sch_queue *queue, gint64 objective)
-{
-	const struct sch_occurrence *occurrence =
-		&phase->job->occurrences[phase->occurrence];
-	gint64 from_ms = occurrence->due_unix_ms ? occurrence->due_ms
-						 : phase->job->accepted_ms;
-	gint64 slack_ms = from_ms + objective - phase->chain_ms - s->now_ms;
-	struct candidate c = { .phase = phase, .queue = queue };
-
-	if (phase->step->lasts) {
-		c.urgency = URGENCY_LASTS;
-		c.order = phase->ready_ms;
-	} else if (slack_ms >= 0) {
-		c.urgency = URGENCY_IN_TIME;
-		c.order = phase->step->fills ? work_left(phase) : slack_ms;
-	} else if (slack_ms + (HOPELESS_FACTOR - 1) * objective >= 0) {
-		c.urgency = URGENCY_LATE;
-		c.order = phase->step->fills ? work_left(phase)
-					     : phase->chain_ms;
-	} else {
-		c.urgency = URGENCY_HOPELESS;
-		c.order = from_ms;
-	}
-	g_array_append_val(candidates, c);
-}
-
-/*
- * TRUE if a task has failed too often. The end that made it so may have come
- * before the table that tells how often is too often.
- */
-static gboolean is_exhausted(const struct sch_phase *phase,
-			     const struct sch_queue *queue)
-{
-	guint sum = 0;
-	guint i;
-
-	for (i = 0; !phase->step->lasts && i < phase->n_tasks; i++) {
-		const struct sch_task *task = &phase->tasks[i];
-
-		sum += task->failures;
-		if (!task->done &&
-		    task->failures >= MAX(queue->max_attempts, 1))
-			return TRUE;
-	}
-	return phase->step->gang && phase->n_done < phase->n_tasks &&
-	       sum >= MAX(queue->max_attempts, 1);
-}
-
-static void add_job(struct sch *s, GArray *candidates, struct sch_job *job)
-{
-	const struct sch_queue *queue = sch_queue_find(s, job->queue);
-	gint64 objective;
-	guint i;
-	size_t k;
-
-	if (!queue)
-		return;
-	objective = objective_ms(s, job, queue);
-	for (i = 0; i < job->n_occurrences; i++) {
-		struct sch_phase *phases = job->occurrences[i].phases;
-
-		for (k = 0; phases && k < job->spec->n_steps; k++) {
-			if (!phases[k].ready_ms || !phases[k].n_idle)
-				continue;
-			if (is_exhausted(&phases[k], queue)) {
-				sch_job_end(s, job,
-					    RP__JOB_STATE__JOB_STATE_FAILED);
-				return;
-			}
-			add_candidate(s, candidates, &phases[k], queue,
-				      objective);
-		}
-	}
-}
-
-static int compare(gconstpointer a, gconstpointer b)
-{
-	const struct candidate *x = a;
-	const struct candidate *y = b;
-
-	if (x->queue->priority != y->queue->priority)
-		return x->queue->priority < y->queue->priority ? -1 : 1;
-	if (x->urgency != y->urgency)
-		return x->urgency < y->urgency ? -1 : 1;
-	if (x->order != y->order)
-		return x->order < y->order ? -1 : 1;
-	return strcmp(x->phase->job->id, y->phase->job->id);
-}
-
 static gboolean has_room(const struct sch_vm *vm,
 			 const struct Rp__StepSpec *step)
 {
@@ -183,21 +54,17 @@
 	return n;
 }
 
+/* Whether the VM may run tasks of the step at all, room aside. */
 static gboolean may_run(const struct sch *s, const struct sch_vm *vm,
-			const struct sch_task *task, const char *pool,
+			const struct sch_phase *phase, const char *pool,
 			const char *rack)
 {
-	const struct Rp__StepSpec *step = task->phase->step;
+	const struct Rp__StepSpec *step = phase->step;
 
-	if (!sch_vm_is_usable(s, vm) || strcmp(vm->pool, pool) ||
-	    (rack && g_strcmp0(vm->rack, rack)) ||
-	    (*step->label && !sch_vm_has_label(vm, step->label)) ||
-	    (task->n_runs && task->runs[0]->vm == vm))
-		return FALSE;
-	if (step->max_per_vm && count_on(vm, task->phase) >= step->max_per_vm)
-		return FALSE;
-	/* A worker with a recent fault is tried with first attempts only. */
-	return !vm->faults || !task->failures;
+	return sch_vm_is_usable(s, vm) && !strcmp(vm->pool, pool) &&
+	       (!rack || !g_strcmp0(vm->rack, rack)) &&
+	       (!*step->label || sch_vm_has_label(vm, step->label)) &&
+	       (!step->max_per_vm || count_on(vm, phase) < step->max_per_vm);
 }
 
 /* Images that serve on the VM, but for the one given. */
@@ -219,9 +86,9 @@
 
 /* Lower is better. */
 static double score(const struct sch *s, const struct sch_vm *vm,
-		    const struct sch_task *task)
+		    const struct sch_phase *phase)
 {
-	const struct Rp__StepSpec *step = task->phase->step;
+	const struct Rp__StepSpec *step = phase->step;
 	double capacity = (double)MAX(vm->capacity.cpu_milli, 1);
 	double used = (double)vm->used.cpu_milli / capacity;
 	double points;
@@ -231,7 +98,7 @@
 		points = 0.15 * others_serving(vm, step->image) - 2 * used;
 	} else if (step->lasts) {
 		/* Spread, so that the loss of one VM costs least. */
-		points = 4.0 * count_on(vm, task->phase) + used;
+		points = 4.0 * count_on(vm, phase) + used;
 	} else if (step->fills) {
 		points = used + (double)vm->fill_milli / capacity;
 	} else {
@@ -243,8 +110,6 @@
 	if (vm->slowness > SLOW_FACTOR &&
 	    s->now_ms < vm->slowness_ms + SLOWNESS_MS)
 		points += 4 * vm->slowness;
-	if (!g_strcmp0(vm->name, task->failed_vm))
-		points += 8;
 	return points + 2 * vm->faults;
 }
 
@@ -255,38 +120,50 @@
 	       s->now_ms > task->phase->ready_ms + STARVED_MS;
 }
 
+/* Returns FALSE if no task of the step can start on the VM. */
+static gboolean fits(struct sch *s, const struct sch_phase *phase,
+		     const struct sch_queue *queue, const char *rack,
+		     double min_share, struct sch_vm *vm, double *points)
+{
+	double share = 1;
+
+	if (!has_room(vm, phase->step) ||
+	    !may_run(s, vm, phase, queue->pool, rack))
+		return FALSE;
+	if (phase->step->fills)
+		share = sch_interfere_share(s, vm, phase);
+	*points = score(s, vm, phase) + 3 * (1 - share);
+	return share >= min_share;
+}
+
+/* The best worker for a task that differs from the others of its step in where
+ * it may go: it has failed, it is a copy, or its job stands still. */
 static struct sch_vm *choose(struct sch *s, const struct sch_task *task,
 			     const char *rack)
 {
 	const struct sch_queue *queue = sch_queue_find(s, task->job->queue);
+	double min_share = is_starved(s, task) ? 0 : MIN_FILL_SHARE;
 	GHashTableIter iter;
 	gpointer value;
 	struct sch_vm *best = NULL;
-	double best_score = 0;
+	double best_points = 0;
+	double points;
 
-	if (!queue)
-		return NULL;
 	g_hash_table_iter_init(&iter, s->vms);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+	while (queue && g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct sch_vm *vm = value;
-		double points;
 
-		if (!has_room(vm, task->phase->step) ||
-		    !may_run(s, vm, task, queue->pool, rack))
+		/* One with a recent fault is tried with first attempts only. */
+		if ((task->n_runs && task->runs[0]->vm == vm) ||
+		    (vm->faults && task->failures) ||
+		    !fits(s, task->phase, queue, rack, min_share, vm, &points))
 			continue;
-		points = score(s, vm, task);
-		if (task->phase->step->fills) {
-			double share = sch_interfere_share(s, vm,
-							   task->phase->step);
-
-			if (share < MIN_FILL_SHARE && !is_starved(s, task))
-				continue;
-			points += 3 * (1 - share);
-		}
-		if (!best || points < best_score) {
-			best = vm;
-			best_score = points;
-		}
+		if (!g_strcmp0(vm->name, task->failed_vm))
+			points += FAILED_HERE_POINTS;
+		if (best && points >= best_points)
+			continue;
+		best = vm;
+		best_points = points;
 	}
 	return best;
 }
@@ -361,9 +238,52 @@
 	plan_gang_in(s, phase, NULL);
 }
 
-static void plan_step(struct sch *s, const struct candidate *c)
+/* Lists the workers that have room, of those that changed since then. */
+static void find_fits(struct sch *s, const struct sch_phase *phase,
+		      const struct sch_queue *queue, guint64 since)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_array_set_size(s->fits, 0);
+	g_hash_table_iter_init(&iter, s->vms);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct sch_fit fit = { .vm = value };
+
+		if (fit.vm->changed > since &&
+		    fits(s, phase, queue, NULL, MIN_FILL_SHARE, fit.vm,
+			 &fit.points))
+			g_array_append_val(s->fits, fit);
+	}
+}
+
+/* Starts the task on the best worker, and notes what is left of its room. */
+static gboolean take_fit(struct sch *s, struct sch_task *task,
+			 const struct sch_queue *queue)
+{
+	guint best = 0;
+	struct sch_fit *fit;
+	guint i;
+
+	if (!s->fits->len)
+		return FALSE;
+	for (i = 1; i < s->fits->len; i++)
+		if (g_array_index(s->fits, struct sch_fit, i).points <
+		    g_array_index(s->fits, struct sch_fit, best).points)
+			best = i;
+	fit = &g_array_index(s->fits, struct sch_fit, best);
+	plan(s, task, fit->vm, task->attempts + 1);
+	if (!fits(s, task->phase, queue, NULL, MIN_FILL_SHARE, fit->vm,
+		  &fit->points))
+		g_array_remove_index_fast(s->fits, best);
+	return TRUE;
+}
+
+static void plan_step(struct sch *s, const struct sch_candidate *c)
 {
 	struct sch_phase *phase = c->phase;
+	gboolean all = s->now_ms >= phase->tried_ms + REVIEW_INTERVAL_MS;
+	gboolean listed = FALSE;
 	guint i;
 
 	for (i = 0; i < phase->n_tasks; i++) {
@@ -372,15 +292,24 @@
 
 		if (!is_idle(task))
 			continue;
-		vm = choose(s, task, NULL);
-		if (vm) {
-			plan(s, task, vm, task->attempts + 1);
+		if (task->failures || is_starved(s, task)) {
+			vm = choose(s, task, NULL);
+			if (vm)
+				plan(s, task, vm, task->attempts + 1);
+			listed = FALSE;
 			continue;
 		}
-		/* Those that follow may go where this one has failed. */
-		if (task->failures)
+		if (!listed)
+			find_fits(s, phase, c->queue,
+				  all ? 0 : phase->tried_change);
+		listed = TRUE;
+		if (take_fit(s, task, c->queue))
 			continue;
-		sch_preempt(s, phase, c->queue->priority);
+		phase->tried_change = s->changes;
+		if (all) {
+			phase->tried_ms = s->now_ms;
+			sch_preempt(s, phase, c->queue->priority);
+		}
 		break;
 	}
 }
@@ -396,14 +325,10 @@
 		return;
 	s->place_due = FALSE;
 	s->placed_ms = s->now_ms;
-	candidates = g_array_new(FALSE, FALSE, sizeof(struct candidate));
-	/* From the end: a job that fails is taken out. */
-	for (i = s->active->len; i-- > 0;)
-		add_job(s, candidates, s->active->pdata[i]);
-	g_array_sort(candidates, compare);
+	candidates = sch_order(s);
 	for (i = 0; i < candidates->len; i++) {
-		const struct candidate *c = &g_array_index(candidates,
-							   struct candidate, i);
+		const struct sch_candidate *c =
+			&g_array_index(candidates, struct sch_candidate, i);
 
 		if (sch_job_has_ended(c->phase->job))
 			continue;
@@ -424,9 +349,9 @@
 
 	g_hash_table_iter_init(&iter, s->vms);
 	while (queue && g_hash_table_iter_next(&iter, NULL, &value))
-		if (has_room(value, task->phase->step) &&
-		    may_run(s, value, task, queue->pool, NULL) &&
-		    sch_interfere_share(s, value, task->phase->step) >= share)
+		if (value != run->vm && has_room(value, task->phase->step) &&
+		    may_run(s, value, task->phase, queue->pool, NULL) &&
+		    sch_interfere_share(s, value, task->phase) >= share)
 			return TRUE;
 	return FALSE;
 }
--- a/sched/queue.c
+++ b/sched/queue.c
@@ -43,15 +43,7 @@
 
 struct sch_queue *sch_queue_find(const struct sch *s, const char *name)
 {
-	guint i;
-
-	for (i = 0; s->queues && i < s->queues->len; i++) {
-		struct sch_queue *queue = s->queues->pdata[i];
-
-		if (!strcmp(queue->name, name))
-			return queue;
-	}
-	return NULL;
+	return s->queues ? g_hash_table_lookup(s->queue_names, name) : NULL;
 }
 
 struct sch_demand *sch_demand(struct sch *s, const char *queue)
--- a/sched/record.c
+++ b/sched/record.c
@@ -134,6 +134,7 @@
 		return -1;
 	task->attempts = progress->attempts;
 	task->failures = progress->failures;
+	task->phase->failures += progress->failures;
 	if (*progress->checkpoint)
 		sch_task_set_checkpoint(task, progress->checkpoint);
 	job->progressed = TRUE;
--- a/sched/run.c
+++ b/sched/run.c
@@ -23,8 +23,6 @@
 	vm->used.accelerators += sign * run->taken.accelerators;
 	if (step->fills)
 		vm->fill_milli += sign * step->need->cpu_milli;
-	if (step->target_ms)
-		vm->serving = (guint)((gint64)vm->serving + sign);
 }
 
 struct sch_run *sch_run_new(struct sch *s, struct sch_task *task,
@@ -50,6 +48,7 @@
 	task->job->progressed = TRUE;
 	g_ptr_array_add(vm->runs, run);
 	add_load(run, 1);
+	vm->room.valid = FALSE;
 	s->stats.runs++;
 	return run;
 }
@@ -66,6 +65,7 @@
 	struct sch_job *job = task->job;
 
 	add_load(run, -1);
+	sch_vm_changed(s, run->vm);
 	g_ptr_array_remove_fast(run->vm->runs, run);
 	g_ptr_array_remove(run->vm->starts, run);
 	if (task->runs[0] == run)
@@ -189,6 +189,7 @@
 	struct sch_job *job = task->job;
 
 	task->failures++;
+	task->phase->failures++;
 	g_free(task->failed_vm);
 	task->failed_vm = g_strdup(vm->name);
 	sch_vm_fault(s, vm, job);
@@ -210,16 +211,6 @@
 			sch_run_stop(s, phase->tasks[i].runs[0]);
 }
 
-static guint gang_failures(const struct sch_phase *phase)
-{
-	guint sum = 0;
-	guint i;
-
-	for (i = 0; i < phase->n_tasks; i++)
-		sum += phase->tasks[i].failures;
-	return sum;
-}
-
 static void apply_end(struct sch *s, struct sch_vm *vm, struct sch_task *task,
 		      struct sch_run *run, const struct Rp__RunEnd *end)
 {
@@ -248,7 +239,7 @@
 		if (task->phase->step->gang && !sch_job_has_ended(job)) {
 			struct sch_queue *queue = sch_queue_find(s, job->queue);
 
-			if (queue && gang_failures(task->phase) >=
+			if (queue && task->phase->failures >=
 					     MAX(queue->max_attempts, 1))
 				sch_job_end(s, job,
 					    RP__JOB_STATE__JOB_STATE_FAILED);
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -72,6 +72,8 @@
 	s->vms = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_vm);
 	s->demands = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					   g_free);
+	s->queue_names = g_hash_table_new(g_str_hash, g_str_equal);
+	s->fits = g_array_new(FALSE, FALSE, sizeof(struct sch_fit));
 	s->colo = colo_table_new();
 	s->active = g_ptr_array_new();
 	s->closing = g_ptr_array_new();
@@ -92,6 +94,8 @@
 	g_hash_table_unref(s->jobs);
 	g_hash_table_unref(s->demands);
 	colo_table_free(s->colo);
+	g_array_unref(s->fits);
+	g_hash_table_unref(s->queue_names);
 	if (s->queues)
 		g_ptr_array_unref(s->queues);
 	g_free(s);
@@ -99,10 +103,18 @@
 
 static void take_tables(struct sch *s, GPtrArray *queues)
 {
+	guint i;
+
 	if (s->queues)
 		g_ptr_array_unref(s->queues);
 	s->queues = queues;
 	g_ptr_array_set_free_func(queues, free_queue);
+	g_hash_table_remove_all(s->queue_names);
+	for (i = 0; i < queues->len; i++) {
+		struct sch_queue *queue = queues->pdata[i];
+
+		g_hash_table_insert(s->queue_names, queue->name, queue);
+	}
 	s->place_due = TRUE;
 }
 
@@ -129,7 +141,7 @@
 	for (i = s->active->len; i-- > 0;)
 		sch_job_advance(s, s->active->pdata[i]);
 	g_hash_table_iter_init(&iter, s->jobs);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
+	while (s->n_waiters && g_hash_table_iter_next(&iter, NULL, &value))
 		sch_call_expire(s, value);
 	sch_commit_check(s);
 	sch_move(s);
--- a/sched/sched_test.c
+++ b/sched/sched_test.c
@@ -573,7 +573,8 @@
 /* Teaches the leader that the image fill stretches the image web a lot. */
 static void teach(struct leader *l)
 {
-	colo_set_slope(l->s->colo, "web", "fill", 0.5);
+	colo_set_slope(l->s->colo, colo_image(l->s->colo, "web"),
+		       colo_image(l->s->colo, "fill"), 0.5);
 }
 
 static void start_serving(struct leader *l, const char *path)
--- a/sched/vm.c
+++ b/sched/vm.c
@@ -68,6 +68,7 @@
 	g_ptr_array_unref(vm->stops);
 	g_hash_table_unref(vm->strangers);
 	g_queue_clear_full(&vm->ends, g_free);
+	sch_interfere_clear(vm);
 	g_free(vm->worker_id);
 	g_free(vm->pool);
 	g_free(vm->rack);
@@ -165,6 +166,12 @@
 	vm->synced = FALSE;
 }
 
+void sch_vm_changed(struct sch *s, struct sch_vm *vm)
+{
+	vm->changed = ++s->changes;
+	vm->room.valid = FALSE;
+}
+
 gboolean sch_vm_has_label(const struct sch_vm *vm, const char *label)
 {
 	guint i;
@@ -441,6 +448,7 @@
 		return;
 	vm->report_ms = s->now_ms;
 	vm->silent_ms = report->silent_ms;
+	sch_vm_changed(s, vm);
 	sch_interfere_take(s, report);
 	if (!report->worker || !*report->worker->worker_id) {
 		vm->known = FALSE;
@@ -500,11 +508,10 @@
 	}
 }
 
-/* Confirms the ends whose changes are durable. */
-static void confirm_ends(struct sch *s, struct sch_vm *vm)
+/* The lowest number of a change that is not durable yet. */
+static guint64 open_change(const struct sch *s)
 {
 	guint64 open = s->next_change;
-	struct sch_end *end;
 	guint i;
 
 	if (s->dirty.head)
@@ -514,6 +521,14 @@
 
 		open = MIN(open, job->committing_change);
 	}
+	return open;
+}
+
+/* Confirms the ends whose changes are durable. */
+static void confirm_ends(struct sch_vm *vm, guint64 open)
+{
+	struct sch_end *end;
+
 	while ((end = g_queue_peek_head(&vm->ends)) && end->change < open) {
 		vm->ended_through = end->number;
 		vm->ack_due = TRUE;
@@ -587,6 +602,7 @@
 
 void sch_vm_send_orders(struct sch *s)
 {
+	guint64 open = open_change(s);
 	GHashTableIter iter;
 	gpointer value;
 
@@ -597,7 +613,7 @@
 
 		if (!vm->connected)
 			continue;
-		confirm_ends(s, vm);
+		confirm_ends(vm, open);
 		if (idle_ms >= ORDERS_INTERVAL_MS ||
 		    (vm->ack_due && idle_ms >= ACK_DELAY_MS) ||
 		    (vm->synced && (vm->starts->len || vm->stops->len)))
