sched: log images and limits of a submission's steps

Cause: where tasks that fill may go depends on the image, which no line of the log told. Change: the line of a submission names both. No change of behaviour, no figures.

--- a/sched/call.c
+++ b/sched/call.c
@@ -47,13 +47,17 @@
 		const struct Rp__StepSpec *step = job->spec->steps[i];
 
 		g_string_append_printf(
-			steps, " %ux%" G_GINT64_FORMAT "m/%ums%s%s%s%s%s",
+			steps, " %ux%" G_GINT64_FORMAT "m/%ums%s%s%s%s%s%s%s",
 			step->replicas, step->need->cpu_milli,
-			step->estimate_ms, step->n_after ? " after" : "",
+			step->estimate_ms, *step->image ? " " : "", step->image,
+			step->n_after ? " after" : "",
 			step->lasts ? " lasts" : "",
 			step->fills ? " fills" : "",
 			step->checkpoints ? " saves" : "",
 			step->speculative ? " copies" : "");
+		if (step->max_per_vm)
+			g_string_append_printf(steps, " at most %u a VM",
+					       step->max_per_vm);
 	}
 	g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "JOB_ID", job->id,
 			 "MESSAGE",
