sched: filling tasks go where they take least of what services leave

Change: the points of a worker are the part of the remaining latency that the task takes, and with a small weight the part of its processors. Test: test_filling_task_spares_what_it_disturbs, seen to fail before.

--- a/sched/interfere.c
+++ b/sched/interfere.c
@@ -15,6 +15,9 @@
 #define MIN_SIBLINGS 3
 #define FIGURE_MAX_AGE_MS 1200
 
+/** Processors or stretch that count as none. */
+#define MIN_ROOM 0.001
+
 /** Images that fill on one VM; more are counted together with the last. */
 #define MAX_USES 16
 
@@ -176,26 +179,27 @@
 	}
 }
 
-double sch_interfere_share(struct sch *s, struct sch_vm *vm,
-			   const struct sch_phase *phase)
+void sch_interfere_demand(struct sch *s, struct sch_vm *vm,
+			  const struct sch_phase *phase,
+			  struct sch_fill_demand *demand)
 {
 	double cpus = (double)phase->step->need->cpu_milli / 1000;
-	double share;
 	guint i;
 
 	if (!vm->room.valid)
 		measure_room(s, vm);
-	share = CLAMP(vm->room.unused_cpus / MAX(cpus, 0.001), 0, 1);
+	demand->cpu = cpus / MAX(vm->room.unused_cpus, MIN_ROOM);
+	demand->stretch = 0;
 	for (i = 0; i < vm->room.images->len; i++) {
 		const struct sch_image_room *image = &g_array_index(
 			vm->room.images, struct sch_image_room, i);
 		double slope = colo_slope(s->colo, image->image, phase->image);
-		double room = MAX(image->room, 0);
 
-		if (slope * cpus > room)
-			share = MIN(share, room / (slope * cpus));
+		demand->stretch =
+			MAX(demand->stretch,
+			    slope * cpus / MAX(image->room, MIN_ROOM));
 	}
-	return share;
+	demand->share = 1 / MAX(1, MAX(demand->cpu, demand->stretch));
 }
 
 static gboolean is_new(const struct Rp__VmOrders *orders, const char *serving,
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -433,9 +433,19 @@
 			 const struct Rp__VmReport *report);
 /** Takes over what an agent learned under earlier leaders. */
 void sch_interfere_take(struct sch *s, const struct Rp__VmReport *report);
-/** Share of its pace, 0 to 1, that a task that fills could have on the VM. */
-double sch_interfere_share(struct sch *s, struct sch_vm *vm,
-			   const struct sch_phase *phase);
+/** What a task that fills would take of what is left on a VM; 1 is all. */
+struct sch_fill_demand {
+	/** Of the processors. */
+	double cpu;
+	/** Of the stretch that the serving image with the least room takes. */
+	double stretch;
+	/** Share of its pace, 0 to 1, that it could have. */
+	double share;
+};
+
+void sch_interfere_demand(struct sch *s, struct sch_vm *vm,
+			  const struct sch_phase *phase,
+			  struct sch_fill_demand *demand);
 void sch_interfere_clear(struct sch_vm *vm);
 /** Adds the slopes of the images on the VM. */
 void sch_interfere_tell(struct sch *s, const struct sch_vm *vm,
--- a/sched/place.c
+++ b/sched/place.c
@@ -22,6 +22,10 @@
 /** Tasks that fill wait for a worker that lets them have this share. */
 #define MIN_FILL_SHARE 0.65
 
+/** Weight of the processors that a task that fills takes of what is left, to
+ * the stretch of services that it takes: stretch is scarcer. */
+#define CPU_POINTS 0.3
+
 /** Added for a worker where the task has failed; above all other points. */
 #define FAILED_HERE_POINTS 8
 
@@ -100,7 +104,7 @@
 		/* Spread, so that the loss of one VM costs least. */
 		points = 4.0 * count_on(vm, phase) + used;
 	} else if (step->fills) {
-		points = used + (double)vm->fill_milli / capacity;
+		points = 0;
 	} else {
 		/* Large tasks find room elsewhere if this one fills gaps. */
 		points = 1 - used;
@@ -125,15 +129,17 @@
 		     const struct sch_queue *queue, const char *rack,
 		     double min_share, struct sch_vm *vm, double *points)
 {
-	double share = 1;
+	struct sch_fill_demand demand;
 
 	if (!has_room(vm, phase->step) ||
 	    !may_run(s, vm, phase, queue->pool, rack))
 		return FALSE;
-	if (phase->step->fills)
-		share = sch_interfere_share(s, vm, phase);
-	*points = score(s, vm, phase) + 3 * (1 - share);
-	return share >= min_share;
+	*points = score(s, vm, phase);
+	if (!phase->step->fills)
+		return TRUE;
+	sch_interfere_demand(s, vm, phase, &demand);
+	*points += demand.stretch + CPU_POINTS * demand.cpu;
+	return demand.share >= min_share;
 }
 
 /* The best worker for a task that differs from the others of its step in where
@@ -346,12 +352,12 @@
 	const struct sch_queue *queue = sch_queue_find(s, task->job->queue);
 	GHashTableIter iter;
 	gpointer value;
+	double points;
 
 	g_hash_table_iter_init(&iter, s->vms);
 	while (queue && g_hash_table_iter_next(&iter, NULL, &value))
-		if (value != run->vm && has_room(value, task->phase->step) &&
-		    may_run(s, value, task->phase, queue->pool, NULL) &&
-		    sch_interfere_share(s, value, task->phase) >= share)
+		if (value != run->vm &&
+		    fits(s, task->phase, queue, NULL, share, value, &points))
 			return TRUE;
 	return FALSE;
 }
--- a/sched/sched_test.c
+++ b/sched/sched_test.c
@@ -577,20 +577,26 @@
 		       colo_image(l->s->colo, "fill"), 0.5);
 }
 
-static void start_serving(struct leader *l, const char *path)
+static void start_image(struct leader *l, const char *path, const char *image,
+			gint64 cpu_milli)
 {
 	struct Rp__StepSpec step;
 	struct Rp__Resources need;
 	struct Rp__StepSpec *steps[] = { &step };
 
-	init_step(&step, &need, 1, 6000);
+	init_step(&step, &need, 1, cpu_milli);
 	step.lasts = TRUE;
 	step.target_ms = 50;
-	step.image = (char *)"web";
+	step.image = (char *)image;
 	submit(l, path, steps, 1);
 	commit(l);
 }
 
+static void start_serving(struct leader *l, const char *path)
+{
+	start_image(l, path, "web", 6000);
+}
+
 static void submit_fill(struct leader *l, const char *path)
 {
 	struct Rp__StepSpec step;
@@ -626,6 +632,39 @@
 }
 END_TEST
 
+/* Guards against filling tasks that use up the little that the services which
+ * they disturb can take, while others would not notice them. */
+START_TEST(test_filling_task_spares_what_it_disturbs)
+{
+	static const struct row web[] = {
+		{ "w.0.0.0", 1, RP__RUN_END_KIND__RUN_END_NONE, 0, 100, 15 },
+	};
+	static const struct row api[] = {
+		{ "a.0.0.0", 1, RP__RUN_END_KIND__RUN_END_NONE, 0, 100, 15 },
+	};
+	struct leader l;
+	struct colo_table *colo;
+
+	setup(&l);
+	colo = l.s->colo;
+	add_vm(&l, "vm1");
+	start_image(&l, "/q/w", "web", 3000);
+	report(&l, "vm1", 50, web, 1);
+	add_vm(&l, "vm2");
+	start_image(&l, "/q/a", "api", 8000);
+	report(&l, "vm2", 50, api, 1);
+	colo_set_slope(colo, colo_image(colo, "web"), colo_image(colo, "fill"),
+		       0.05);
+	colo_set_slope(colo, colo_image(colo, "api"), colo_image(colo, "fill"),
+		       0);
+	submit_fill(&l, "/q/f");
+	commit(&l);
+	ck_assert_uint_eq(task(&l, "f.0.0.0")->n_runs, 1);
+	ck_assert_str_eq(task(&l, "f.0.0.0")->runs[0]->vm->name, "vm2");
+	teardown(&l);
+}
+END_TEST
+
 /* Guards against small jobs that wait behind large ones in a flood of filling
  * tasks: 6 small ones are done in the room of one large one. */
 START_TEST(test_flood_of_filling_tasks_by_work_left)
@@ -839,6 +878,7 @@
 	tcase_add_test(tcase, test_occurrences_wait_for_their_time);
 	tcase_add_test(tcase, test_short_tasks_before_lasting_ones);
 	tcase_add_test(tcase, test_filling_task_avoids_what_it_slows);
+	tcase_add_test(tcase, test_filling_task_spares_what_it_disturbs);
 	tcase_add_test(tcase, test_flood_of_filling_tasks_by_work_left);
 	tcase_add_test(tcase, test_removed_queue);
 	tcase_add_test(tcase, test_starved_filling_task_starts_anywhere);
