sched: a job that fills counts as in time by the pace that it gets

Change: the leader keeps the mean pace of filling tasks, and the time left of a job is its chain of work at that pace.

--- a/sched/interfere.c
+++ b/sched/interfere.c
@@ -11,6 +11,10 @@
 /** A task that fills is held up if it has less of what it declared. */
 #define FAIR_PART 0.3
 
+/** Weight of one figure in the mean pace of filling tasks: some hundred figures
+ * come in a second. */
+#define PACE_WEIGHT 0.003
+
 /** Tasks whose load is compared, and how old their figures may be. */
 #define MIN_SIBLINGS 3
 #define FIGURE_MAX_AGE_MS 1200
@@ -79,6 +83,9 @@
 		if (!run || !run->task->phase->step->fills)
 			continue;
 		run->cpus = (double)row->figure / 1000;
+		s->fill_pace += PACE_WEIGHT *
+				(CLAMP(run->cpus / declared_cpus(run), 0, 1) -
+				 s->fill_pace);
 		if (run->cpus > FAIR_PART * declared_cpus(run) || !run->fair_ms)
 			run->fair_ms = s->now_ms;
 		add_use(uses, &n, run->task->phase->image, run->cpus);
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -296,6 +296,8 @@
 	/** Queue's name to struct sch_demand. */
 	GHashTable *demands;
 	struct colo_table *colo;
+	/** Processors that filling tasks get, of what they declare; a mean. */
+	double fill_pace;
 	/** Jobs with changes to write, oldest change first. */
 	GQueue dirty;
 	/** Of these, jobs whose callers or tasks wait for the write. */
@@ -408,11 +410,19 @@
 void sch_vm_clear_faults(struct sch_vm *vm);
 
 /* order.c */
+enum sch_urgency {
+	SCH_URGENCY_IN_TIME,
+	SCH_URGENCY_LATE,
+	/** Tasks that last keep their room for long, so short ones go first. */
+	SCH_URGENCY_LASTS,
+	SCH_URGENCY_HOPELESS,
+};
+
 /** A step with tasks that could start. */
 struct sch_candidate {
 	struct sch_phase *phase;
 	const struct sch_queue *queue;
-	guint urgency;
+	enum sch_urgency urgency;
 	gint64 order;
 };
 
--- a/sched/order.c
+++ b/sched/order.c
@@ -12,13 +12,8 @@
 /** After this many times its objective a job is of little use. */
 #define HOPELESS_FACTOR 3
 
-enum urgency {
-	URGENCY_IN_TIME,
-	URGENCY_LATE,
-	/** Tasks that last keep their room for long, so short ones go first. */
-	URGENCY_LASTS,
-	URGENCY_HOPELESS,
-};
+/** Pace of filling tasks below which the estimate is not trusted. */
+#define MIN_PACE 0.25
 
 static gint64 objective_ms(const struct sch_job *job,
 			   const struct sch_queue *queue)
@@ -39,6 +34,14 @@
 	       1000;
 }
 
+/* Time to the job's end; tasks that fill get part of their pace only. */
+static gint64 time_left_ms(const struct sch *s, const struct sch_phase *phase)
+{
+	double pace = phase->step->fills ? MAX(s->fill_pace, MIN_PACE) : 1;
+
+	return (gint64)((double)phase->chain_ms / pace);
+}
+
 static void add_candidate(struct sch *s, GArray *candidates,
 			  struct sch_phase *phase,
 			  const struct sch_queue *queue, gint64 objective)
@@ -47,21 +50,22 @@
 		&phase->job->occurrences[phase->occurrence];
 	gint64 from_ms = occurrence->due_unix_ms ? occurrence->due_ms
 						 : phase->job->accepted_ms;
-	gint64 slack_ms = from_ms + objective - phase->chain_ms - s->now_ms;
+	gint64 slack_ms = from_ms + objective - time_left_ms(s, phase) -
+			  s->now_ms;
 	struct sch_candidate c = { .phase = phase, .queue = queue };
 
 	if (phase->step->lasts) {
-		c.urgency = URGENCY_LASTS;
+		c.urgency = SCH_URGENCY_LASTS;
 		c.order = phase->ready_ms;
 	} else if (slack_ms >= 0) {
-		c.urgency = URGENCY_IN_TIME;
+		c.urgency = SCH_URGENCY_IN_TIME;
 		c.order = phase->step->fills ? work_left(phase) : slack_ms;
 	} else if (slack_ms + (HOPELESS_FACTOR - 1) * objective >= 0) {
-		c.urgency = URGENCY_LATE;
+		c.urgency = SCH_URGENCY_LATE;
 		c.order = phase->step->fills ? work_left(phase)
 					     : phase->chain_ms;
 	} else {
-		c.urgency = URGENCY_HOPELESS;
+		c.urgency = SCH_URGENCY_HOPELESS;
 		c.order = from_ms;
 	}
 	g_array_append_val(candidates, c);
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -75,6 +75,7 @@
 	s->queue_names = g_hash_table_new(g_str_hash, g_str_equal);
 	s->fits = g_array_new(FALSE, FALSE, sizeof(struct sch_fit));
 	s->colo = colo_table_new();
+	s->fill_pace = 1;
 	s->active = g_ptr_array_new();
 	s->closing = g_ptr_array_new();
 	s->next_change = 1;
