sched: filling tasks start only where they take little of the latency left

They ran at 0.1 to 0.3 of their pace, and still kept the processors that they declared, so 63 of 66 workers counted as full while 1500 processors were unused and tasks waited that would have disturbed nobody. Each swing of a service's load put it over its target. Change: a task starts where it takes at most 0.4 of the latency left, or after 1.5 s anywhere if its job stands still, as before. Test: test_filling_task_waits_for_a_worker_that_it_hardly_disturbs, seen to fail before.

--- a/sched/place.c
+++ b/sched/place.c
@@ -29,6 +29,12 @@
 /** Added for a worker where the task has failed; above all other points. */
 #define FAILED_HERE_POINTS 8
 
+/**
+ * A task that fills takes at most this part of the latency that a service has
+ * left: with more, it is stopped at the next swing of the service's load.
+ */
+#define MAX_FILL_STRETCH 0.4
+
 /** The first task of a job waits for such a worker only so long. */
 #define STARVED_MS 1500
 
@@ -139,7 +145,8 @@
 		return TRUE;
 	sch_interfere_demand(s, vm, phase, &demand);
 	*points += demand.stretch + CPU_POINTS * demand.cpu;
-	return demand.share >= min_share;
+	return demand.share >= min_share &&
+	       (!min_share || demand.stretch <= MAX_FILL_STRETCH);
 }
 
 /* The best worker for a task that differs from the others of its step in where
--- a/sched/sched_test.c
+++ b/sched/sched_test.c
@@ -665,6 +665,39 @@
 }
 END_TEST
 
+/*
+ * Guards against filling tasks that start where they take most of the latency
+ * that a service has left: at the next swing of its load they are stopped, and
+ * until then they harm it and keep processors that they cannot use.
+ */
+START_TEST(test_filling_task_waits_for_a_worker_that_it_hardly_disturbs)
+{
+	static const struct row web[] = {
+		{ "w.0.0.0", 1, RP__RUN_END_KIND__RUN_END_NONE, 0, 100, 15 },
+	};
+	struct leader l;
+	struct colo_table *colo;
+
+	setup(&l);
+	colo = l.s->colo;
+	add_vm(&l, "vm1");
+	start_serving(&l, "/q/w");
+	report(&l, "vm1", 50, web, 1);
+	/* 4 processors stretch it by 0.32, of the 0.62 that are left. */
+	colo_set_slope(colo, colo_image(colo, "web"), colo_image(colo, "fill"),
+		       0.08);
+	submit_fill(&l, "/q/f");
+	commit(&l);
+	ck_assert_uint_eq(task(&l, "f.0.0.0")->n_runs, 0);
+	colo_set_slope(colo, colo_image(colo, "web"), colo_image(colo, "fill"),
+		       0.02);
+	report(&l, "vm1", 50, web, 1);
+	tick(&l, 100);
+	ck_assert_uint_eq(task(&l, "f.0.0.0")->n_runs, 1);
+	teardown(&l);
+}
+END_TEST
+
 /*
  * Guards against a harmless image that is held to disturb a service, because
  * the own latency of the service is taken from a sibling whose figure is too
@@ -934,6 +967,9 @@
 	tcase_add_test(tcase, test_short_tasks_before_lasting_ones);
 	tcase_add_test(tcase, test_filling_task_avoids_what_it_slows);
 	tcase_add_test(tcase, test_filling_task_spares_what_it_disturbs);
+	tcase_add_test(
+		tcase,
+		test_filling_task_waits_for_a_worker_that_it_hardly_disturbs);
 	tcase_add_test(tcase, test_low_figure_is_not_interference);
 	tcase_add_test(tcase, test_flood_of_filling_tasks_by_work_left);
 	tcase_add_test(tcase, test_removed_queue);
