sched: a task that lasts may return to a worker with a fault; late copies do not fail jobs

Cause 2: found while reading: a copy that fails after its task is done was counted, and could end the job as failed. Change: the restriction holds for counted attempts only; the failure of a copy whose task is done counts as a fault of the worker alone. Ruled out, measured and reverted: starting tasks that last before short ones once they waited 1.5 s. Tests, seen to fail before: test_failed_lasting_task_starts_again_on_a_ worker_with_a_fault, test_copy_that_fails_after_its_task_is_done.

--- a/sched/place.c
+++ b/sched/place.c
@@ -155,6 +155,7 @@
 			     const char *rack)
 {
 	const struct sch_queue *queue = sch_queue_find(s, task->job->queue);
+	const struct Rp__StepSpec *step = task->phase->step;
 	double min_share = is_starved(s, task) ? 0 : MIN_FILL_SHARE;
 	GHashTableIter iter;
 	gpointer value;
@@ -166,9 +167,10 @@
 	while (queue && g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct sch_vm *vm = value;
 
-		/* One with a recent fault is tried with first attempts only. */
+		/* One with a recent fault is tried with first attempts only,
+		 * as far as attempts are counted. */
 		if ((task->n_runs && task->runs[0]->vm == vm) ||
-		    (vm->faults && task->failures) ||
+		    (vm->faults && task->failures && !step->lasts) ||
 		    !fits(s, task->phase, queue, rack, min_share, vm, &points))
 			continue;
 		if (!g_strcmp0(vm->name, task->failed_vm))
--- a/sched/run.c
+++ b/sched/run.c
@@ -235,7 +235,11 @@
 			finish(s, task);
 		break;
 	case RP__RUN_END_KIND__RUN_END_FAILED:
-		fail(s, task, vm);
+		/* A copy may fail after the task is done. */
+		if (task->done)
+			sch_vm_fault(s, vm, job);
+		else
+			fail(s, task, vm);
 		if (task->phase->step->gang && !sch_job_has_ended(job)) {
 			struct sch_queue *queue = sch_queue_find(s, job->queue);
 
--- a/sched/sched_test.c
+++ b/sched/sched_test.c
@@ -570,6 +570,70 @@
 }
 END_TEST
 
+/* Guards against a service that stays away after its tasks have failed, because
+ * each worker with room has had a fault. */
+START_TEST(test_failed_lasting_task_starts_again_on_a_worker_with_a_fault)
+{
+	static const struct row ended[] = {
+		{ "a.0.0.0", 1, RP__RUN_END_KIND__RUN_END_FAILED, 1, 0, 0 },
+	};
+	struct leader l;
+	struct Rp__StepSpec step;
+	struct Rp__Resources need;
+	struct Rp__StepSpec *steps[] = { &step };
+
+	setup(&l);
+	init_step(&step, &need, 1, 6000);
+	step.lasts = TRUE;
+	add_vm(&l, "vm1");
+	submit(&l, "/q/a", steps, 1);
+	commit(&l);
+	ck_assert_uint_eq(task(&l, "a.0.0.0")->n_runs, 1);
+	report(&l, "vm1", 50, ended, 1);
+	tick(&l, 20);
+	ck_assert_uint_eq(task(&l, "a.0.0.0")->n_runs, 1);
+	ck_assert_uint_eq(task(&l, "a.0.0.0")->runs[0]->attempt, 2);
+	teardown(&l);
+}
+END_TEST
+
+/* Guards against a job that fails because a copy of a task fails after the task
+ * is done. */
+START_TEST(test_copy_that_fails_after_its_task_is_done)
+{
+	static const struct row done[] = {
+		{ "a.0.0.0", 1, RP__RUN_END_KIND__RUN_END_DONE, 1, 0, 0 },
+	};
+	static const struct row failed[] = {
+		{ "a.0.0.0", 2, RP__RUN_END_KIND__RUN_END_FAILED, 1, 0, 0 },
+	};
+	struct leader l;
+	struct Rp__StepSpec step;
+	struct Rp__Resources need;
+	struct Rp__StepSpec *steps[] = { &step };
+
+	setup(&l);
+	init_step(&step, &need, 2, 6000);
+	step.speculative = TRUE;
+	add_vm(&l, "vm1");
+	add_vm(&l, "vm2");
+	add_vm(&l, "vm3");
+	submit(&l, "/q/a", steps, 1);
+	commit(&l);
+	task(&l, "a.0.0.0")->failures = 1;
+	sch_place_copy(l.s, task(&l, "a.0.0.0")->runs[0]);
+	ck_assert_uint_eq(task(&l, "a.0.0.0")->n_runs, 2);
+	commit(&l);
+	report(&l, task(&l, "a.0.0.0")->runs[0]->vm->name, 50, done, 1);
+	ck_assert(task(&l, "a.0.0.0")->done);
+	report(&l, task(&l, "a.0.0.0")->runs[0]->vm->name, 50, failed, 1);
+	commit(&l);
+	call(&l, RP__STEP_VERB__STEP_VERB_STATE, "/q/a", NULL);
+	ck_assert_int_ne(l.state, RP__JOB_STATE__JOB_STATE_FAILED);
+	teardown(&l);
+}
+END_TEST
+
 /* Teaches the leader that the image fill stretches the image web a lot. */
 static void teach(struct leader *l)
 {
@@ -965,6 +1029,10 @@
 	tcase_add_test(tcase, test_gang_is_all_or_none);
 	tcase_add_test(tcase, test_occurrences_wait_for_their_time);
 	tcase_add_test(tcase, test_short_tasks_before_lasting_ones);
+	tcase_add_test(
+		tcase,
+		test_failed_lasting_task_starts_again_on_a_worker_with_a_fault);
+	tcase_add_test(tcase, test_copy_that_fails_after_its_task_is_done);
 	tcase_add_test(tcase, test_filling_task_avoids_what_it_slows);
 	tcase_add_test(tcase, test_filling_task_spares_what_it_disturbs);
 	tcase_add_test(
