cell: a restarted entry removes the leader's key of its earlier process

A VM that was not up yet when first dialled was tried again after 2 s. Change: a leader's key with this VM's name, but of another process, is removed under its revision: a VM runs one entry at a time. Dials are repeated at least once a second. Safety: the fence rises as at any election, and a new leader waits for what earlier ones may have granted, whatever became of their key. Test: test_key_of_an_earlier_process, seen to fail before.

--- a/cell/cell_test.c
+++ b/cell/cell_test.c
@@ -366,6 +366,23 @@
 }
 END_TEST
 
+/* Guards against a restarted leader that waits for the lease of the process
+ * that it replaces. */
+START_TEST(test_key_of_an_earlier_process)
+{
+	g_autoptr(GBytes) earlier = g_bytes_new_static("entry0 0badcafe", 15);
+	struct cell cell;
+
+	setup(&cell);
+	cell.kv.revision++;
+	fake_put(&cell.kv, CELL_LEADER_KEY, earlier, 999);
+	pass(&cell, 1000);
+	ck_assert(cell_entry_is_ready(cell.entries[0]));
+	ck_assert(cell_entry_is_ready(cell.entries[1]));
+	teardown(&cell);
+}
+END_TEST
+
 /* Guards against an entry that answers from old tables while it is cut off. */
 START_TEST(test_store_down)
 {
@@ -402,6 +419,7 @@
 	tcase_add_test(tcase, test_lost_answers);
 	tcase_add_test(tcase, test_key_taken_away);
 	tcase_add_test(tcase, test_leader_resigns);
+	tcase_add_test(tcase, test_key_of_an_earlier_process);
 	tcase_add_test(tcase, test_store_down);
 	suite_add_tcase(suite, tcase);
 	return fixture_run(suite);
--- a/cell/lead.c
+++ b/cell/lead.c
@@ -7,9 +7,10 @@
  * into events of the scheduler, and carries out its effects.
  */
 
-/** Between attempts to reach a process. */
+/** Between attempts to reach a process; a VM is back some seconds after it lost
+ * power, and its worker has no other way to get work. */
 #define DIAL_MS 300
-#define DIAL_MAX_MS 2000
+#define DIAL_MAX_MS 1000
 
 /** A process that cannot be reached for so long is forgotten. */
 #define FORGET_MS 40000
--- a/cell/store.c
+++ b/cell/store.c
@@ -203,6 +203,45 @@
 	load(store);
 }
 
+static void on_removed(void *arg, const struct kv_txn_result *result,
+		       const GError *error)
+{
+	g_autofree struct call_ctx *ctx = arg;
+	struct cell_store *store = ctx->store;
+
+	if (is_stale(ctx))
+		return;
+	store->busy = FALSE;
+	store->next_ms = store->now_ms + (error ? RETRY_MS : 0);
+	if (result && result->succeeded)
+		g_message("removed the leader's key of an earlier process of "
+			  "this VM");
+}
+
+/*
+ * A VM runs one entry at a time, so a leader of this name other than this
+ * process is dead. Its key need not last until the lease expires.
+ */
+static void remove_earlier(struct cell_store *store, gint64 revision)
+{
+	struct kv_txn *txn = kv_txn_new();
+
+	store->busy = TRUE;
+	kv_txn_compare(txn, CELL_LEADER_KEY, KV_COMPARE_MOD_REVISION, revision);
+	kv_txn_delete(txn, CELL_LEADER_KEY);
+	store->kv->ops->txn(store->kv, txn, on_removed, call_ctx_new(store));
+	kv_txn_free(txn);
+}
+
+/* TRUE if the candidacy was made on this VM. */
+static gboolean is_of_this_vm(const struct cell_store *store,
+			      const char *candidacy)
+{
+	size_t len = strlen(store->name);
+
+	return !strncmp(candidacy, store->name, len) && candidacy[len] == ' ';
+}
+
 /* Finds out whether a candidacy whose answer was lost has succeeded. */
 static void on_leader_read(void *arg, const GPtrArray *pairs,
 			   gint64 revision G_GNUC_UNUSED, const GError *error)
@@ -226,9 +265,13 @@
 	pair = pairs->pdata[0];
 	text = g_strndup(g_bytes_get_data(pair->value, &len),
 			 g_bytes_get_size(pair->value));
+	if (store->resigned)
+		return;
 	if (store->candidacy && !strcmp(text, store->candidacy) &&
-	    pair->lease == store->lease && !store->resigned)
+	    pair->lease == store->lease)
 		elected(store, pair->mod_revision);
+	else if (is_of_this_vm(store, text))
+		remove_earlier(store, pair->mod_revision);
 }
 
 static void look(struct cell_store *store, gboolean in_touch)
--- /dev/null
+++ b/sched/leader_test.h
@@ -0,0 +1,278 @@
+#ifndef SCHED_LEADER_TEST_H
+#define SCHED_LEADER_TEST_H
+
+#include <check.h>
+#include <stdlib.h>
+
+#include "internal.h"
+#include "tests/fixture.h"
+
+/* A leader whose workers, callers and store are the test. */
+struct leader {
+	struct sch *s;
+	gint64 now_ms;
+	GArray *effects;
+	/** Of the last reply. */
+	guint status;
+	Rp__JobState state;
+	guint waiting;
+};
+
+#define FENCE 9
+#define UNIX_MS 1700000000000
+#define CPU_MILLI 10000
+
+static void clear(struct leader *l)
+{
+	guint i;
+
+	for (i = 0; i < l->effects->len; i++)
+		sch_effect_clear(
+			&g_array_index(l->effects, struct sch_effect, i));
+	g_array_set_size(l->effects, 0);
+}
+
+static void reduce(struct leader *l, struct sch_event *ev)
+{
+	guint i;
+
+	ev->now_ms = l->now_ms;
+	ev->unix_ms = UNIX_MS + l->now_ms;
+	sch_reduce(l->s, ev, l->effects);
+	for (i = 0; i < l->effects->len; i++) {
+		const struct sch_effect *e =
+			&g_array_index(l->effects, struct sch_effect, i);
+
+		if (e->kind != SCH_EFFECT_REPLY)
+			continue;
+		l->status = e->reply.status;
+		l->state = e->reply.state;
+		l->waiting = e->reply.waiting;
+	}
+}
+
+static void prove(struct leader *l)
+{
+	struct sch_event ev = { .kind = SCH_EVENT_PROOF,
+				.proved_ms = l->now_ms };
+
+	reduce(l, &ev);
+}
+
+static void tick(struct leader *l, gint64 ms)
+{
+	struct sch_event ev = { .kind = SCH_EVENT_TICK };
+
+	l->now_ms += ms;
+	reduce(l, &ev);
+}
+
+/* Lets the transaction under way take effect, if there is one. */
+static void commit(struct leader *l)
+{
+	struct sch_event ev = { .kind = SCH_EVENT_COMMITTED };
+
+	tick(l, 200);
+	while (l->s->commit) {
+		reduce(l, &ev);
+		tick(l, 200);
+	}
+}
+
+static GPtrArray *queues_new(void)
+{
+	GPtrArray *queues = g_ptr_array_new();
+	struct sch_queue *queue = sch_queue_new();
+
+	queue->name = g_strdup("q");
+	queue->host = g_strdup("h");
+	queue->path_prefix = g_strdup("/q/");
+	queue->pool = g_strdup("p");
+	queue->max_attempts = 2;
+	queue->slack_factor = 2;
+	queue->target_ms = 1000;
+	g_ptr_array_add(queues, queue);
+	return queues;
+}
+
+static void setup(struct leader *l)
+{
+	struct sch_options options = {
+		.fence = FENCE,
+		.lease_ms = 7000,
+		.authority_ms = 6000,
+		.max_ops = 29,
+		.retention_ms = 180000,
+	};
+	struct sch_event ev = { .kind = SCH_EVENT_TABLES,
+				.queues = queues_new() };
+
+	memset(l, 0, sizeof(*l));
+	l->now_ms = 100000;
+	l->s = sch_new(&options, l->now_ms);
+	l->effects = g_array_new(FALSE, FALSE, sizeof(struct sch_effect));
+	reduce(l, &ev);
+	prove(l);
+}
+
+static void teardown(struct leader *l)
+{
+	clear(l);
+	g_array_unref(l->effects);
+	sch_free(l->s);
+}
+
+/* What a worker's list has. */
+struct row {
+	const char *task;
+	guint32 attempt;
+	/** RUN_END_NONE: it runs. */
+	Rp__RunEndKind ended;
+	guint64 number;
+	guint percent;
+	guint figure;
+};
+
+static void report(struct leader *l, const char *vm, guint64 born,
+		   const struct row *rows, size_t n)
+{
+	struct Rp__VmReport body;
+	struct Rp__WorkerInfo info;
+	struct Rp__Resources capacity;
+	struct Rp__RunRow running[8];
+	struct Rp__RunRow *running_list[8];
+	struct Rp__RunEnd ended[8];
+	struct Rp__RunEnd *ended_list[8];
+	struct Rp__RunName names[8];
+	struct sch_event ev = { .kind = SCH_EVENT_REPORT,
+				.vm = vm,
+				.report = &body };
+	size_t i;
+
+	rp__vm_report__init(&body);
+	rp__worker_info__init(&info);
+	rp__resources__init(&capacity);
+	capacity.cpu_milli = CPU_MILLI;
+	capacity.memory_bytes = 1 << 30;
+	info.worker_id = (char *)vm;
+	info.born_ms = born;
+	info.pool = (char *)"p";
+	info.capacity = &capacity;
+	body.fence = FENCE;
+	body.worker = &info;
+	body.clock_ms = l->now_ms - 90000;
+	body.listed = TRUE;
+	body.running = running_list;
+	body.ended = ended_list;
+	for (i = 0; i < n; i++) {
+		rp__run_name__init(&names[i]);
+		names[i].task = (char *)rows[i].task;
+		names[i].attempt = rows[i].attempt;
+		if (rows[i].ended) {
+			struct Rp__RunEnd *end = &ended[body.n_ended];
+
+			rp__run_end__init(end);
+			end->run = &names[i];
+			end->kind = rows[i].ended;
+			end->number = rows[i].number;
+			ended_list[body.n_ended++] = end;
+		} else {
+			struct Rp__RunRow *row = &running[body.n_running];
+
+			rp__run_row__init(row);
+			row->run = &names[i];
+			row->percent = rows[i].percent;
+			row->figure = rows[i].figure;
+			running_list[body.n_running++] = row;
+		}
+	}
+	reduce(l, &ev);
+}
+
+static void add_vm(struct leader *l, const char *vm)
+{
+	struct sch_event ev = { .kind = SCH_EVENT_VM_UP, .vm = vm };
+
+	reduce(l, &ev);
+	report(l, vm, 50, NULL, 0);
+}
+
+static void init_step(struct Rp__StepSpec *step, struct Rp__Resources *need,
+		      guint replicas, gint64 cpu_milli)
+{
+	rp__step_spec__init(step);
+	rp__resources__init(need);
+	need->cpu_milli = cpu_milli;
+	step->need = need;
+	step->replicas = replicas;
+	step->estimate_ms = 1000;
+}
+
+static void call(struct leader *l, Rp__StepVerb verb, const char *path,
+		 struct Rp__StepJob *job)
+{
+	struct Rp__StepCall body;
+	struct sch_event ev = { .kind = SCH_EVENT_CALL,
+				.call = &body,
+				.call_ref = 1 };
+
+	rp__step_call__init(&body);
+	body.verb = verb;
+	body.host = (char *)"h";
+	body.path = (char *)path;
+	body.job = job;
+	l->status = 0;
+	reduce(l, &ev);
+}
+
+static void submit(struct leader *l, const char *path,
+		   struct Rp__StepSpec **steps, size_t n)
+{
+	struct Rp__StepJob job;
+
+	rp__step_job__init(&job);
+	job.steps = steps;
+	job.n_steps = n;
+	call(l, RP__STEP_VERB__STEP_VERB_SUBMIT, path, &job);
+}
+
+static struct sch_task *task(struct leader *l, const char *name)
+{
+	struct sch_job *job;
+	struct sch_task *found = sch_job_task(l->s, name, &job);
+
+	ck_assert_ptr_nonnull(found);
+	return found;
+}
+
+G_GNUC_UNUSED static guint orders_of(struct leader *l, gboolean stops)
+{
+	guint n = 0;
+	guint i;
+
+	for (i = 0; i < l->effects->len; i++) {
+		const struct sch_effect *e =
+			&g_array_index(l->effects, struct sch_effect, i);
+
+		if (e->kind == SCH_EFFECT_ORDERS)
+			n += (guint)(stops ? e->frame->vm_orders->n_stops
+					   : e->frame->vm_orders->n_starts);
+	}
+	return n;
+}
+
+/* A job of one task that fills. */
+static void submit_fill(struct leader *l, const char *path)
+{
+	struct Rp__StepSpec step;
+	struct Rp__Resources need;
+	struct Rp__StepSpec *steps[] = { &step };
+
+	init_step(&step, &need, 1, 4000);
+	step.fills = TRUE;
+	step.checkpoints = TRUE;
+	step.image = (char *)"fill";
+	submit(l, path, steps, 1);
+}
+
+#endif
