cell: entries learn at once that the leader's process has ended

Change: the leader tells its address in its greeting; an entry that loses it dials that address, and if nobody listens there, removes the leader's key under its revision and stands. A cut link or a VM without power does not refuse connections, so the lease still counts there. Safety: as for the key of an earlier process; a wrong removal would be as a revoked lease, which the leader notices by its proofs. Ruled out: a shorter lease, which slow calls to the store would break. Test: test_leader_is_killed, seen to fail before.

--- a/cell/cell_test.c
+++ b/cell/cell_test.c
@@ -383,6 +383,31 @@
 }
 END_TEST
 
+/* Guards against entries that wait for the lease of a leader although its
+ * process has ended. */
+START_TEST(test_leader_is_killed)
+{
+	struct cell cell;
+	const struct fake_item *item;
+	int leader;
+
+	setup(&cell);
+	wait_ready(&cell, 0);
+	wait_ready(&cell, 1);
+	ck_assert_uint_eq(submit(&cell, 0, "/b/a7"), 200);
+	item = g_hash_table_lookup(cell.kv.items, CELL_LEADER_KEY);
+	leader = !strncmp(g_bytes_get_data(item->value, NULL), "entry0", 6) ? 0
+									    : 1;
+	cell_entry_free(cell.entries[leader]);
+	cell.entries[leader] = NULL;
+	pass(&cell, 1000);
+	ck_assert(cell_entry_is_ready(cell.entries[1 - leader]));
+	wait_state(&cell, 1 - leader, "/b/a7", RP__JOB_STATE__JOB_STATE_DONE);
+	ck_assert_uint_eq(cell.starts, 4);
+	teardown(&cell);
+}
+END_TEST
+
 /* Guards against an entry that answers from old tables while it is cut off. */
 START_TEST(test_store_down)
 {
@@ -420,6 +445,7 @@
 	tcase_add_test(tcase, test_key_taken_away);
 	tcase_add_test(tcase, test_leader_resigns);
 	tcase_add_test(tcase, test_key_of_an_earlier_process);
+	tcase_add_test(tcase, test_leader_is_killed);
 	tcase_add_test(tcase, test_store_down);
 	suite_add_tcase(suite, tcase);
 	return fixture_run(suite);
--- a/cell/conn.c
+++ b/cell/conn.c
@@ -25,6 +25,7 @@
 	void *ctx;
 	gint64 heard_ms;
 	gboolean closed;
+	gboolean refused;
 	/** Within a call of the handler; freed when it returns. */
 	guint busy;
 };
@@ -103,6 +104,8 @@
 		leave(conn);
 		return;
 	}
+	conn->refused = (what & BEV_EVENT_ERROR) &&
+			EVUTIL_SOCKET_ERROR() == ECONNREFUSED;
 	fail(conn, what & BEV_EVENT_TIMEOUT ? "not connected in time"
 					    : "connection lost");
 }
@@ -192,6 +195,11 @@
 	wire_frame_free(frame);
 }
 
+gboolean cell_conn_refused(const struct cell_conn *conn)
+{
+	return conn->refused;
+}
+
 gint64 cell_conn_heard_ms(const struct cell_conn *conn)
 {
 	return conn->heard_ms;
--- a/cell/entry.c
+++ b/cell/entry.c
@@ -23,6 +23,7 @@
 struct cell_entry {
 	struct cell_entry_options options;
 	char *name;
+	char *listen;
 	struct evconnlistener *listener;
 	struct event *tick;
 	struct cell_follow follow;
@@ -33,6 +34,9 @@
 	guint64 fence;
 	gboolean leading;
 	gboolean draining;
+	/** Tells whether the process of a lost leader has ended. */
+	struct cell_conn *probe;
+	guint64 probe_fence;
 	/** call_id to struct pending. */
 	GHashTable *pending;
 	guint64 next_call;
@@ -82,9 +86,53 @@
 		cell_store_step_down(entry->store);
 }
 
+static void on_probe_connect(void *ctx, struct cell_conn *conn)
+{
+	struct cell_entry *entry = ctx;
+
+	entry->probe = NULL;
+	cell_conn_close(conn);
+}
+
+static void on_probe_close(void *ctx, struct cell_conn *conn,
+			   const char *why G_GNUC_UNUSED)
+{
+	struct cell_entry *entry = ctx;
+
+	entry->probe = NULL;
+	if (!cell_conn_refused(conn))
+		return;
+	g_message("the process of the leader with fence %" G_GUINT64_FORMAT
+		  " has ended",
+		  entry->probe_fence);
+	cell_store_leader_ended(entry->store, entry->probe_fence);
+}
+
+static void on_probe_frame(void *ctx G_GNUC_UNUSED,
+			   struct cell_conn *conn G_GNUC_UNUSED,
+			   const struct Rp__Frame *frame G_GNUC_UNUSED)
+{
+}
+
+static const struct cell_conn_handler probe_handler = {
+	.on_frame = on_probe_frame,
+	.on_close = on_probe_close,
+	.on_connect = on_probe_connect,
+};
+
+/* A killed process loses its connections at once, as does a cut link; only
+ * the first refuses new ones. */
 static void on_lost(void *ctx)
 {
-	fail_pending(ctx);
+	struct cell_entry *entry = ctx;
+
+	fail_pending(entry);
+	if (entry->probe || !entry->follow.address)
+		return;
+	entry->probe_fence = entry->follow.fence;
+	entry->probe = cell_conn_dial(entry->options.base,
+				      entry->follow.address, &probe_handler,
+				      entry);
 }
 
 static void on_frame(void *ctx, const struct Rp__Frame *frame)
@@ -120,6 +168,7 @@
 		.store = entry->store,
 		.metrics = entry->options.metrics,
 		.name = entry->name,
+		.listen = entry->listen,
 		.fence = fence,
 		.max_txn_ops = entry->options.max_txn_ops,
 	};
@@ -259,10 +308,12 @@
 
 	entry->options = *options;
 	entry->name = g_strdup(options->name);
+	entry->listen = g_strdup(options->listen);
 	entry->listener = cell_listen(options->base, options->listen, on_accept,
 				      entry, error);
 	if (!entry->listener) {
 		g_free(entry->name);
+		g_free(entry->listen);
 		g_free(entry);
 		return NULL;
 	}
@@ -288,12 +339,15 @@
 	evconnlistener_free(entry->listener);
 	if (entry->lead)
 		cell_lead_free(entry->lead);
+	if (entry->probe)
+		cell_conn_close(entry->probe);
 	fail_pending(entry);
 	cell_store_free(entry->store);
 	cell_follow_clear(&entry->follow);
 	cell_register_clear(&entry->reg);
 	g_hash_table_unref(entry->pending);
 	g_free(entry->name);
+	g_free(entry->listen);
 	g_free(entry);
 }
 
--- a/cell/follow.c
+++ b/cell/follow.c
@@ -39,6 +39,11 @@
 			  frame->leader_hello->entry, fence);
 		follow->conn = conn;
 		follow->fence = fence;
+		g_free(follow->address);
+		follow->address =
+			*frame->leader_hello->address
+				? g_strdup(frame->leader_hello->address)
+				: NULL;
 		follow->on_leader(follow->ctx, fence);
 		return;
 	}
@@ -78,6 +83,7 @@
 	for (i = 0; i < follow->unknown->len; i++)
 		cell_conn_close(follow->unknown->pdata[i]);
 	g_ptr_array_unref(follow->unknown);
+	g_free(follow->address);
 	if (follow->conn)
 		cell_conn_close(follow->conn);
 }
--- a/cell/internal.h
+++ b/cell/internal.h
@@ -46,6 +46,9 @@
 void cell_conn_send_beat(struct cell_conn *conn, guint64 fence);
 /** Closes without a call of on_close; safe within on_frame. */
 void cell_conn_close(struct cell_conn *conn);
+/** TRUE in on_close if nobody listens at the address that was dialled, so the
+ * process there has ended. */
+gboolean cell_conn_refused(const struct cell_conn *conn);
 /** When the last bytes came. */
 gint64 cell_conn_heard_ms(const struct cell_conn *conn);
 
@@ -58,6 +61,8 @@
 struct cell_follow {
 	struct cell_conn *conn;
 	guint64 fence;
+	/** Where the leader listens; NULL if it did not tell. */
+	char *address;
 	GPtrArray *unknown;
 	struct event_base *base;
 	void (*on_leader)(void *ctx, guint64 fence);
@@ -136,6 +141,9 @@
 void cell_store_remove_node(struct cell_store *store, const char *name);
 /** Ends the term at once: a later leader is known. */
 void cell_store_step_down(struct cell_store *store);
+/** The process that was elected with the fence has ended: its key need not last
+ * until its lease expires. */
+void cell_store_leader_ended(struct cell_store *store, guint64 fence);
 /** Gives up leadership once no transaction is under way. */
 void cell_store_resign(struct cell_store *store);
 
@@ -147,6 +155,8 @@
 	struct cell_store *store;
 	struct obs_metrics *metrics;
 	const char *name;
+	/** IP:PORT of this process for frames. */
+	const char *listen;
 	guint64 fence;
 	guint max_txn_ops;
 };
--- a/cell/lead.c
+++ b/cell/lead.c
@@ -168,6 +168,8 @@
 
 	frame->leader_hello->fence = node->lead->options.fence;
 	wire_set_string(&frame->leader_hello->entry, node->lead->options.name);
+	wire_set_string(&frame->leader_hello->address,
+			node->lead->options.listen);
 	cell_conn_send(node->conn, frame);
 	wire_frame_free(frame);
 }
--- a/cell/store.c
+++ b/cell/store.c
@@ -67,6 +67,8 @@
 	gint64 lease;
 	/** Revision of the leader's key. */
 	gint64 fence;
+	/** Of a leader whose process has ended. */
+	gint64 ended_fence;
 	gint64 commit_revision;
 	guint64 commit_number;
 	/** The transaction under way, with its conditions. */
@@ -214,15 +216,13 @@
 	store->busy = FALSE;
 	store->next_ms = store->now_ms + (error ? RETRY_MS : 0);
 	if (result && result->succeeded)
-		g_message("removed the leader's key of an earlier process of "
-			  "this VM");
+		g_message("removed the key of a leader whose process has "
+			  "ended");
 }
 
-/*
- * A VM runs one entry at a time, so a leader of this name other than this
- * process is dead. Its key need not last until the lease expires.
- */
-static void remove_earlier(struct cell_store *store, gint64 revision)
+/* The leader's process has ended: its key need not last until the lease
+ * expires. */
+static void remove_key(struct cell_store *store, gint64 revision)
 {
 	struct kv_txn *txn = kv_txn_new();
 
@@ -233,7 +233,7 @@
 	kv_txn_free(txn);
 }
 
-/* TRUE if the candidacy was made on this VM. */
+/* TRUE if the candidacy was made on this VM, which runs one entry at a time. */
 static gboolean is_of_this_vm(const struct cell_store *store,
 			      const char *candidacy)
 {
@@ -270,8 +270,9 @@
 	if (store->candidacy && !strcmp(text, store->candidacy) &&
 	    pair->lease == store->lease)
 		elected(store, pair->mod_revision);
-	else if (is_of_this_vm(store, text))
-		remove_earlier(store, pair->mod_revision);
+	else if (is_of_this_vm(store, text) ||
+		 pair->mod_revision == store->ended_fence)
+		remove_key(store, pair->mod_revision);
 }
 
 static void look(struct cell_store *store, gboolean in_touch)
@@ -615,6 +616,12 @@
 	depose(store, "a later leader is in touch");
 }
 
+void cell_store_leader_ended(struct cell_store *store, guint64 fence)
+{
+	store->ended_fence = (gint64)fence;
+	store->next_ms = 0;
+}
+
 void cell_store_resign(struct cell_store *store)
 {
 	store->resigned = TRUE;
--- a/wire/rp.pb-c.c
+++ b/wire/rp.pb-c.c
@@ -5353,7 +5353,7 @@
   (ProtobufCMessageInit) rp__peer_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp__leader_hello__field_descriptors[2] =
+static const ProtobufCFieldDescriptor rp__leader_hello__field_descriptors[3] =
 {
   {
     "fence",
@@ -5379,15 +5379,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "address",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rp__LeaderHello, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rp__leader_hello__field_indices_by_name[] = {
+  2,   /* field[2] = address */
   1,   /* field[1] = entry */
   0,   /* field[0] = fence */
 };
 static const ProtobufCIntRange rp__leader_hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor rp__leader_hello__descriptor =
 {
@@ -5397,7 +5410,7 @@
   "Rp__LeaderHello",
   "rp",
   sizeof(Rp__LeaderHello),
-  2,
+  3,
   rp__leader_hello__field_descriptors,
   rp__leader_hello__field_indices_by_name,
   1,  rp__leader_hello__number_ranges,
--- a/wire/rp.pb-c.h
+++ b/wire/rp.pb-c.h
@@ -820,10 +820,14 @@
   ProtobufCMessage base;
   uint64_t fence;
   char *entry;
+  /*
+   * IP:PORT where the leader's process listens; empty if it does not tell. 
+   */
+  char *address;
 };
 #define RP__LEADER_HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rp__leader_hello__descriptor) \
-    , 0, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 /*
