sched: tasks that ran when a worker was found faulty do not lengthen its avoidance

Change: a fault counts only if the run began after the worker was last found to be avoided. Test: test_tasks_that_fail_together_count_once, seen to fail before.

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -118,6 +118,8 @@
 	guint faults;
 	struct sch_job *fault_job;
 	gint64 avoid_until_ms;
+	/** When it was last found to be avoided. */
+	gint64 avoid_from_ms;
 	/** Time that tasks take relative to others of their step; 1 is usual.
 	 */
 	double slowness;
@@ -420,7 +422,9 @@
 /** Notes that more tasks may start on the worker than before. */
 void sch_vm_changed(struct sch *s, struct sch_vm *vm);
 gboolean sch_vm_has_label(const struct sch_vm *vm, const char *label);
-void sch_vm_fault(struct sch *s, struct sch_vm *vm, struct sch_job *job);
+/** Takes note of a fault of the worker, with a run that began at begun_ms. */
+void sch_vm_fault(struct sch *s, struct sch_vm *vm, struct sch_job *job,
+		  gint64 begun_ms);
 void sch_vm_clear_faults(struct sch_vm *vm);
 
 /* order.c */
--- a/sched/move.c
+++ b/sched/move.c
@@ -127,7 +127,7 @@
 					 vm->name, "MESSAGE",
 					 "%s stands still at %u %%, stopped",
 					 run->name, run->percent);
-			sch_vm_fault(s, vm, run->task->job);
+			sch_vm_fault(s, vm, run->task->job, run->state_ms);
 			sch_run_stop(s, run);
 		} else if (is_held_up(s, run)) {
 			s->stats.moved++;
--- a/sched/place_test.c
+++ b/sched/place_test.c
@@ -80,6 +80,42 @@
 }
 END_TEST
 
+/*
+ * Guards against a worker that is avoided for much longer than it is faulty,
+ * because tasks fail that ran before it was found to be.
+ */
+START_TEST(test_tasks_that_fail_together_count_once)
+{
+	static const struct row both[] = {
+		{ "a.0.0.0", 1, RP__RUN_END_KIND__RUN_END_FAILED, 1, 0, 0 },
+		{ "b.0.0.0", 1, RP__RUN_END_KIND__RUN_END_FAILED, 2, 0, 0 },
+	};
+	static const struct row third[] = {
+		{ "c.0.0.0", 1, RP__RUN_END_KIND__RUN_END_FAILED, 3, 0, 0 },
+	};
+	struct leader l;
+	struct Rp__StepSpec step;
+	struct Rp__Resources need;
+	struct Rp__StepSpec *steps[] = { &step };
+	gint64 until_ms;
+
+	setup(&l);
+	init_step(&step, &need, 1, 2000);
+	add_vm(&l, "vm1");
+	submit(&l, "/q/a", steps, 1);
+	submit(&l, "/q/b", steps, 1);
+	submit(&l, "/q/c", steps, 1);
+	commit(&l);
+	report(&l, "vm1", 50, both, 2);
+	until_ms = sch_vm_get(l.s, "vm1")->avoid_until_ms;
+	ck_assert_int_gt(until_ms, l.now_ms);
+	tick(&l, 100);
+	report(&l, "vm1", 50, third, 1);
+	ck_assert_int_eq(sch_vm_get(l.s, "vm1")->avoid_until_ms, until_ms);
+	teardown(&l);
+}
+END_TEST
+
 /* Teaches the leader that the image fill stretches the image web a lot. */
 static void teach(struct leader *l)
 {
@@ -325,6 +361,7 @@
 	tcase_add_test(
 		tcase,
 		test_failed_lasting_task_starts_again_on_a_worker_with_a_fault);
+	tcase_add_test(tcase, test_tasks_that_fail_together_count_once);
 	tcase_add_test(tcase, test_filling_task_avoids_what_it_slows);
 	tcase_add_test(tcase, test_filling_task_spares_what_it_disturbs);
 	tcase_add_test(
--- a/sched/run.c
+++ b/sched/run.c
@@ -183,7 +183,8 @@
 	sch_job_advance(s, task->job);
 }
 
-static void fail(struct sch *s, struct sch_task *task, struct sch_vm *vm)
+static void fail(struct sch *s, struct sch_task *task, struct sch_vm *vm,
+		 gint64 begun_ms)
 {
 	struct sch_queue *queue = sch_queue_find(s, task->job->queue);
 	struct sch_job *job = task->job;
@@ -192,7 +193,7 @@
 	task->phase->failures++;
 	g_free(task->failed_vm);
 	task->failed_vm = g_strdup(vm->name);
-	sch_vm_fault(s, vm, job);
+	sch_vm_fault(s, vm, job, begun_ms);
 	sch_job_dirty(s, job);
 	if (task->phase->step->lasts || !queue ||
 	    task->failures < MAX(queue->max_attempts, 1))
@@ -215,6 +216,7 @@
 		      struct sch_run *run, const struct Rp__RunEnd *end)
 {
 	struct sch_job *job = task->job;
+	gint64 begun_ms = run->state_ms;
 
 	if (run->state == SCH_RUN_ORDERED) {
 		sch_run_began(s, run);
@@ -237,9 +239,9 @@
 	case RP__RUN_END_KIND__RUN_END_FAILED:
 		/* A copy may fail after the task is done. */
 		if (task->done)
-			sch_vm_fault(s, vm, job);
+			sch_vm_fault(s, vm, job, begun_ms);
 		else
-			fail(s, task, vm);
+			fail(s, task, vm, begun_ms);
 		if (task->phase->step->gang && !sch_job_has_ended(job)) {
 			struct sch_queue *queue = sch_queue_find(s, job->queue);
 
--- a/sched/vm.c
+++ b/sched/vm.c
@@ -141,8 +141,7 @@
 	vm->lease_until_ms = 0;
 	vm->ended_seen = 0;
 	vm->ended_through = 0;
-	vm->faults = 0;
-	vm->avoid_until_ms = 0;
+	sch_vm_clear_faults(vm);
 	vm->slowness = 1;
 	g_hash_table_remove_all(vm->strangers);
 	g_ptr_array_set_size(vm->stops, 0);
@@ -190,12 +189,15 @@
 	       !g_hash_table_size(vm->strangers);
 }
 
-void sch_vm_fault(struct sch *s, struct sch_vm *vm, struct sch_job *job)
+void sch_vm_fault(struct sch *s, struct sch_vm *vm, struct sch_job *job,
+		  gint64 begun_ms)
 {
 	gint64 avoid_ms;
 
-	/* Several tasks of one faulty job say nothing of the worker. */
-	if (vm->faults && vm->fault_job == job)
+	/* Several tasks of one faulty job say nothing of the worker, and those
+	 * that ran when it was found faulty nothing new. */
+	if ((vm->faults && vm->fault_job == job) ||
+	    begun_ms < vm->avoid_from_ms)
 		return;
 	vm->fault_job = job;
 	vm->faults++;
@@ -203,6 +205,7 @@
 		return;
 	avoid_ms = AVOID_MS << MIN(vm->faults - FAULTS_TO_AVOID, 3);
 	vm->avoid_until_ms = s->now_ms + MIN(avoid_ms, AVOID_MAX_MS);
+	vm->avoid_from_ms = s->now_ms;
 	g_log_structured(
 		G_LOG_DOMAIN, G_LOG_LEVEL_WARNING, "VM", vm->name, "MESSAGE",
 		"avoided for %" G_GINT64_FORMAT " ms after %u faults in a row",
@@ -214,6 +217,7 @@
 	vm->faults = 0;
 	vm->fault_job = NULL;
 	vm->avoid_until_ms = 0;
+	vm->avoid_from_ms = 0;
 }
 
 static void take_info(struct sch *s, struct sch_vm *vm,
@@ -412,7 +416,7 @@
 	}
 	if (strcmp(answer->reason, "stopped") &&
 	    strcmp(answer->reason, "draining") && !run->stopping)
-		sch_vm_fault(s, vm, run->task->job);
+		sch_vm_fault(s, vm, run->task->job, run->state_ms);
 	if (run->task->phase->step->gang && !sch_job_has_ended(run->task->job))
 		sch_run_stop_gang(s, run->task->phase, run);
 	sch_run_remove(s, run);
