sched: a filling task without processors leaves the mean pace a number

Cause, found while reading: a job may declare no processors; what it uses was divided by that, and the mean pace of filling tasks was no number for the rest of the term. Each job with filling steps was then held to need four times its chain of work. Change: such tasks do not count in the mean. Test: test_filling_task_without_processors, seen to fail before.

--- a/sched/interfere.c
+++ b/sched/interfere.c
@@ -132,13 +132,18 @@
 		colo_learn(s->colo, phase->image, base, ratio, uses, n);
 }
 
+/* By names, so that a seed gives the same order in each process. */
 static int compare_phase(gconstpointer a, gconstpointer b)
 {
-	const struct sch_run *x = *(struct sch_run *const *)a;
-	const struct sch_run *y = *(struct sch_run *const *)b;
-
-	return (x->task->phase > y->task->phase) -
-	       (x->task->phase < y->task->phase);
+	const struct sch_phase *x = (*(struct sch_run *const *)a)->task->phase;
+	const struct sch_phase *y = (*(struct sch_run *const *)b)->task->phase;
+	int order = strcmp(x->job->id, y->job->id);
+
+	if (order)
+		return order;
+	if (x->occurrence != y->occurrence)
+		return x->occurrence < y->occurrence ? -1 : 1;
+	return (x->number > y->number) - (x->number < y->number);
 }
 
 static void learn(struct sch *s, GPtrArray *served, const struct colo_use *uses,
@@ -162,10 +167,14 @@
 
 static void note_fill(struct sch *s, struct sch_run *run, guint figure)
 {
+	double declared = declared_cpus(run);
+
 	run->cpus = (double)figure / 1000;
-	s->fill_pace +=
-		PACE_WEIGHT *
-		(CLAMP(run->cpus / declared_cpus(run), 0, 1) - s->fill_pace);
+	/* A job may declare no processors. */
+	if (declared > 0)
+		s->fill_pace +=
+			PACE_WEIGHT *
+			(CLAMP(run->cpus / declared, 0, 1) - s->fill_pace);
 	if (run->cpus > FAIR_PART * declared_cpus(run) || !run->fair_ms)
 		run->fair_ms = s->now_ms;
 }
@@ -181,9 +190,11 @@
 
 	for (i = 0; i < report->n_running; i++) {
 		const struct Rp__RunRow *row = report->running[i];
-		struct sch_run *run = sch_run_find(vm, row->run->task,
-						   row->run->attempt);
+		struct sch_run *run;
 
+		if (!row->run)
+			continue;
+		run = sch_run_find(vm, row->run->task, row->run->attempt);
 		if (!run)
 			continue;
 		if (run->task->phase->step->fills) {
--- a/sched/place_test.c
+++ b/sched/place_test.c
@@ -231,6 +231,31 @@
 }
 END_TEST
 
+/* Guards against a mean pace that is no number any more once a job that
+ * declares no processors has run. */
+START_TEST(test_filling_task_without_processors)
+{
+	static const struct row running[] = {
+		{ "f.0.0.0", 1, RP__RUN_END_KIND__RUN_END_NONE, 0, 10, 0 },
+	};
+	struct leader l;
+	struct Rp__StepSpec step;
+	struct Rp__Resources need;
+	struct Rp__StepSpec *steps[] = { &step };
+
+	setup(&l);
+	init_step(&step, &need, 1, 0);
+	step.fills = TRUE;
+	step.image = (char *)"fill";
+	add_vm(&l, "vm1");
+	submit(&l, "/q/f", steps, 1);
+	commit(&l);
+	report(&l, "vm1", 50, running, 1);
+	ck_assert_double_eq(l.s->fill_pace, 1);
+	teardown(&l);
+}
+END_TEST
+
 /*
  * Guards against a harmless image that is held to disturb a service, because
  * the own latency of the service is taken from a sibling whose figure is too
@@ -367,6 +392,7 @@
 	tcase_add_test(
 		tcase,
 		test_filling_task_waits_for_a_worker_that_it_hardly_disturbs);
+	tcase_add_test(tcase, test_filling_task_without_processors);
 	tcase_add_test(tcase, test_low_figure_is_not_interference);
 	tcase_add_test(tcase, test_flood_of_filling_tasks_by_work_left);
 	tcase_add_test(tcase, test_starved_filling_task_starts_anywhere);
