runs: slow all filling tasks when slowing those to blame does not help

Reading the agent's code shows one way to it: while any image is blamed, only images with a known part in the stretch are slowed, to a stop if need be; one whose slope is held to be next to nothing goes on at full pace. Since agents no longer learn, that lasts until the leader tells another slope. Change: once a service stayed over its limit for three samples, 1.4 s, all filling tasks of the VM are slowed by the trust that is left, to a stop within another second; they come back as the trust does. Test: test_wrong_blame_does_not_last, seen to fail before.

--- a/runs/pace.c
+++ b/runs/pace.c
@@ -20,6 +20,10 @@
 #define TRUST_STEP 0.1
 #define TRUST_MIN 0.02
 
+/** Trust after three samples in a row over the limit, 1.4 s; a service may be
+ * over its target for 4 s at most. */
+#define MISTRUST 0.2
+
 /** Images below this stretch are not slowed for it. */
 #define BLAME_STRETCH 0.01
 
@@ -127,6 +131,18 @@
 	return excess - stretch * (1 - factor);
 }
 
+static void slow_all(struct runs *r, double factor)
+{
+	guint i;
+
+	for (i = 0; i < r->running->len; i++) {
+		struct runs_info *info = row_info(r, i);
+
+		if (info && info->fills)
+			info->share *= factor;
+	}
+}
+
 /* Slows what slows this task until it has room. */
 static void make_room(struct runs *r, const struct runs_info *serving)
 {
@@ -146,16 +162,15 @@
 		if (excess > 0)
 			excess = slow_images(r, serving, slope, excess);
 	}
-	if (blamed || serving->serving.ratio <= OVER_RATIO)
+	if (serving->serving.ratio <= OVER_RATIO)
 		return;
-	/* Without an image to blame, all are slowed and the blame is learned.
+	/* Without an image to blame, or if slowing those to blame has not
+	 * helped, the slopes are wrong: all are slowed until they are learned.
 	 */
-	for (i = 0; i < r->running->len; i++) {
-		struct runs_info *info = row_info(r, i);
-
-		if (info && info->fills)
-			info->share *= UNBLAMED_FACTOR;
-	}
+	if (!blamed)
+		slow_all(r, UNBLAMED_FACTOR);
+	else if (serving->trust < MISTRUST)
+		slow_all(r, serving->trust);
 }
 
 static void control(struct runs *r)
--- a/runs/runs_test.c
+++ b/runs/runs_test.c
@@ -286,7 +286,7 @@
 #define PACE_TARGET_MS 100
 #define FILL_CPU_MILLI 6000
 
-static void pace_orders(struct agent *a)
+static void pace_orders(struct agent *a, double heavy, double light)
 {
 	struct Rp__VmOrders body;
 	struct Rp__RunStart start[G_N_ELEMENTS(pace_tasks)];
@@ -320,7 +320,7 @@
 		rp__image_pair__init(&pair[i]);
 		pair[i].serving = (char *)pace_images[0];
 		pair[i].filling = (char *)pace_images[i + 1];
-		pair[i].slope = i ? 0.01 : 0.1;
+		pair[i].slope = i ? light : heavy;
 	}
 	body.pairs = pairs;
 	body.n_pairs = G_N_ELEMENTS(pair);
@@ -395,7 +395,7 @@
 	struct agent a;
 
 	setup(&a);
-	pace_orders(&a);
+	pace_orders(&a, 0.1, 0.01);
 	/* Own latency of 0.4 of the target, as the slopes stretch it. */
 	pace_lists(&a, 118, told);
 	ck_assert_uint_lt(told[1], 90);
@@ -414,7 +414,7 @@
 	guint first;
 
 	setup(&a);
-	pace_orders(&a);
+	pace_orders(&a, 0.1, 0.01);
 	pace_lists(&a, 40, told);
 	pace_lists(&a, 130, told);
 	first = told[1];
@@ -426,6 +426,32 @@
 }
 END_TEST
 
+/*
+ * Guards against a service that stays over its target because another image is
+ * blamed than the one that disturbs it: the figures do not get better when that
+ * one has stopped.
+ */
+START_TEST(test_wrong_blame_does_not_last)
+{
+	guint told[] = { 100, 100, 100 };
+	struct agent a;
+	guint i;
+
+	setup(&a);
+	pace_orders(&a, 0.03, 0.001);
+	pace_lists(&a, 40, told);
+	for (i = 0; i < 5; i++)
+		pace_lists(&a, 140, told);
+	/* 2.5 s over the target. */
+	ck_assert_uint_lt(told[1], 10);
+	ck_assert_uint_lt(told[2], 10);
+	for (i = 0; i < 12; i++)
+		pace_lists(&a, 30, told);
+	ck_assert_uint_gt(told[2], 90);
+	teardown(&a);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("runs");
@@ -439,6 +465,7 @@
 	tcase_add_test(tcase, test_orders_for_another_incarnation_are_dropped);
 	tcase_add_test(tcase, test_worst_image_is_slowed_first);
 	tcase_add_test(tcase, test_service_over_target_is_relieved);
+	tcase_add_test(tcase, test_wrong_blame_does_not_last);
 	suite_add_tcase(suite, tcase);
 	return fixture_run(suite);
 }
