entry: fix a test that depends on the order of argument evaluation

Cause: test_refusals_without_retry_budget passed conn and sent_request(&conn)->id in one call; sent_request() sets conn, and the order in which arguments are evaluated is unspecified. gcc for arm64 reads conn first, so the reply went to the connection that had refused. Change: the id is read before the call. The checks are the same. After: 24 checks pass.

--- a/entry/entry_test.c
+++ b/entry/entry_test.c
@@ -357,7 +357,8 @@
 		reply(first, id, RP__OUTCOME__OUTCOME_NOT_RUN, refusals[_i],
 		      "");
 		ck_assert_ptr_null(find(ENT_FX_ANSWER));
-		reply_ran(conn, sent_request(&conn)->id);
+		id = sent_request(&conn)->id;
+		reply_ran(conn, id);
 		ck_assert_uint_ne(conn, first);
 		assert_answer(handle, 200, RP__OUTCOME__OUTCOME_RAN);
 		report(first, 0, FALSE);
