--- a/cell/lead.c
+++ b/cell/lead.c
@@ -531,6 +531,8 @@
 		      stats.starts);
 	obs_count_set(metrics, "radishpier_step_runs_lost_total", NULL,
 		      stats.lost_runs);
+	obs_count_set(metrics, "radishpier_step_runs_unknown_total", NULL,
+		      stats.unknown_runs);
 	obs_count_set(metrics, "radishpier_step_preempted_total", NULL,
 		      stats.preempted);
 	obs_count_set(metrics, "radishpier_step_copies_total", NULL,
--- a/runs/hold.c
+++ b/runs/hold.c
@@ -43,6 +43,28 @@
 	runs_call_send(r, call);
 }
 
+/* Logs when the worker stops answering lease renewals, and when it answers
+ * again. */
+static void log_renewal(const struct runs *r, const struct runs_answer *answer)
+{
+	gint64 unanswered_ms = r->now_ms - r->answered_ms;
+
+	if (answer->outcome == RUNS_OK && r->failed_renewals)
+		g_message("worker %s answers lease renewals again after %u "
+			  "failures: clock %" G_GINT64_FORMAT
+			  ", lease sent until %" G_GINT64_FORMAT
+			  ", %u orders wait",
+			  r->worker->worker_id, r->failed_renewals,
+			  answer->clock_ms, r->lease_sent_ms, r->orders->len);
+	else if (answer->outcome != RUNS_OK && !r->failed_renewals)
+		g_message("lease renewal of worker %s failed: outcome %d %s, "
+			  "last answer %" G_GINT64_FORMAT " ms ago, "
+			  "%u orders wait",
+			  r->worker->worker_id, answer->outcome,
+			  answer->reason ? answer->reason : "", unanswered_ms,
+			  r->orders->len);
+}
+
 static void replace_running(struct runs *r, const struct runs_answer *answer)
 {
 	size_t i;
@@ -96,15 +118,11 @@
 	if (answer->call_id != r->renewal_call)
 		return FALSE;
 	r->renewal_call = 0;
+	log_renewal(r, answer);
 	if (answer->outcome != RUNS_OK) {
 		r->failed_renewals++;
 		r->incarnation_verified = FALSE;
 		r->next_renewal_ms = r->now_ms + RENEWAL_RETRY_MS;
-		g_log_structured(
-			G_LOG_DOMAIN, G_LOG_LEVEL_DEBUG, "MESSAGE",
-			"lease renewal failed, %u in a row: outcome %d %s",
-			r->failed_renewals, answer->outcome,
-			answer->reason ? answer->reason : "");
 		return TRUE;
 	}
 	r->failed_renewals = 0;
--- a/runs/internal.h
+++ b/runs/internal.h
@@ -19,6 +19,8 @@
 /** An order of the leader whose outcome is not known yet. */
 struct runs_order {
 	char *task;
+	/** Of the task's name, for the log. */
+	char *job_id;
 	guint32 attempt;
 	enum runs_order_state state;
 	GBytes *payload;
@@ -33,6 +35,8 @@
 	/** The call in flight, 0 for none, and whether it is a stop. */
 	guint64 call_id;
 	gboolean call_is_stop;
+	/** When the leader's order arrived. */
+	gint64 ordered_ms;
 	/** No call is sent before this time. */
 	gint64 next_ms;
 	/** Lists of lease renewals with a lower call id may have been read
--- a/runs/orders.c
+++ b/runs/orders.c
@@ -18,6 +18,9 @@
 /** Start calls without answer after which the run is stopped instead. */
 #define MAX_UNANSWERED_STARTS 3
 
+/** A start that is sent this long after its order is logged. */
+#define DELAYED_START_MS 1000
+
 /** Delay before a failed stop is sent again. */
 #define STOP_RETRY_MS 150
 
@@ -28,6 +31,7 @@
 	if (order->payload)
 		g_bytes_unref(order->payload);
 	g_free(order->task);
+	g_free(order->job_id);
 	g_free(order->checkpoint);
 	g_free(order->ticket);
 	g_free(order);
@@ -69,8 +73,10 @@
 	struct runs_order *order = g_new0(struct runs_order, 1);
 
 	order->task = g_strdup(run->task);
+	order->job_id = g_strndup(run->task, strcspn(run->task, "."));
 	order->attempt = run->attempt;
 	order->state = state;
+	order->ordered_ms = r->now_ms;
 	g_ptr_array_add(r->orders, order);
 	return order;
 }
@@ -155,6 +161,22 @@
 		apply_stop(r, orders->stops[i]);
 }
 
+/* Logs a start that waited long in the queue, when it is first sent. */
+static void log_delayed_start(const struct runs *r,
+			      const struct runs_order *order)
+{
+	gint64 waited_ms = r->now_ms - order->ordered_ms;
+
+	if (order->start_unanswered || waited_ms < DELAYED_START_MS)
+		return;
+	g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "JOB_ID",
+			 order->job_id, "MESSAGE",
+			 "start of %s, attempt %u, is sent %" G_GINT64_FORMAT
+			 " ms after its order, lease until %" G_GINT64_FORMAT,
+			 order->task, order->attempt, waited_ms,
+			 r->lease_until_ms);
+}
+
 static void send_order(struct runs *r, struct runs_order *order)
 {
 	gboolean start = order->state == RUNS_ORDER_START;
@@ -165,6 +187,7 @@
 	call->task = g_strdup(order->task);
 	call->attempt = order->attempt;
 	if (start) {
+		log_delayed_start(r, order);
 		call->payload = g_bytes_ref(order->payload);
 		call->checkpoint = g_strdup(order->checkpoint);
 		call->ticket = g_strdup(order->ticket);
@@ -226,6 +249,12 @@
 
 	if (answer->outcome == RUNS_NO_ANSWER) {
 		order->start_unanswered = TRUE;
+		g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "JOB_ID",
+				 order->job_id, "MESSAGE",
+				 "start of %s, attempt %u, is not answered, "
+				 "%u in a row",
+				 order->task, order->attempt,
+				 order->unanswered_starts + 1);
 		if (++order->unanswered_starts >= MAX_UNANSWERED_STARTS)
 			undo_start(order, "unanswered");
 		return;
--- a/runs/runs.c
+++ b/runs/runs.c
@@ -216,8 +216,30 @@
 	return r->worker;
 }
 
+static void log_dropped_orders(const struct runs *r, guint64 fencing_token)
+{
+	guint unanswered = 0;
+	guint i;
+
+	for (i = 0; i < r->orders->len; i++) {
+		const struct runs_order *order = r->orders->pdata[i];
+
+		if (order->start_unanswered ||
+		    (order->call_id && !order->call_is_stop))
+			unanswered++;
+	}
+	if (r->orders->len)
+		g_message("fencing token %" G_GUINT64_FORMAT
+			  " follows %" G_GUINT64_FORMAT
+			  ": %u orders dropped, %u of them starts without an "
+			  "answer",
+			  fencing_token, r->fencing_token, r->orders->len,
+			  unanswered);
+}
+
 static void leader_connected(struct runs *r, guint64 fencing_token)
 {
+	log_dropped_orders(r, fencing_token);
 	/* A new leader repeats the orders that still apply. */
 	g_ptr_array_set_size(r->orders, 0);
 	r->orders_in_flight = 0;
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -152,6 +152,8 @@
 	guint vms_usable;
 	guint64 starts;
 	guint64 lost_runs;
+	/** Listed runs of workers that no record names. */
+	guint64 unknown_runs;
 	guint64 preempted;
 	guint64 speculative_runs;
 	guint64 rescheduled;
--- a/sched/vm.c
+++ b/sched/vm.c
@@ -81,6 +81,33 @@
 	g_free(vm);
 }
 
+/* Lower bound of the worker's clock now; see above. */
+static gint64 clock_now_ms(const struct sch *s, const struct sch_vm *vm)
+{
+	return vm->clock_ms + (gint64)((double)(s->now_ms - vm->clock_read_ms) *
+				       CLOCK_RATE_MIN);
+}
+
+static void log_lost_run(const struct sch *s, const struct sch_run *run)
+{
+	static const char *const states[] = {
+		[SCH_RUN_PLANNED] = "planned",
+		[SCH_RUN_ORDERED] = "ordered",
+		[SCH_RUN_RUNNING] = "running",
+	};
+	const struct sch_vm *vm = run->vm;
+
+	g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "JOB_ID",
+			 run->task->job->id, "VM", vm->name, "MESSAGE",
+			 "%s, attempt %u, is lost: %s for %" G_GINT64_FORMAT
+			 " ms; lease ends at %" G_GINT64_FORMAT
+			 ", the worker's clock shows at least %" G_GINT64_FORMAT
+			 ", read %" G_GINT64_FORMAT " ms ago",
+			 run->name, run->attempt, states[run->state],
+			 s->now_ms - run->state_ms, vm->lease_until_ms,
+			 clock_now_ms(s, vm), s->now_ms - vm->clock_read_ms);
+}
+
 static void lose_runs(struct sch *s, struct sch_vm *vm, const char *why)
 {
 	guint i = 0;
@@ -96,6 +123,7 @@
 			i++;
 			continue;
 		}
+		log_lost_run(s, run);
 		sch_run_remove(s, run);
 		lost++;
 	}
@@ -370,6 +398,18 @@
 	s->place_due = TRUE;
 }
 
+static void log_unknown_run(const struct sch_vm *vm,
+			    const struct Rp__RunName *run)
+{
+	g_autofree char *job_id = g_strndup(run->task, strcspn(run->task, "."));
+
+	g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_WARNING, "JOB_ID", job_id,
+			 "VM", vm->name, "MESSAGE",
+			 "the worker runs %s, attempt %u, which is not placed "
+			 "there; stopping it",
+			 run->task, run->attempt);
+}
+
 static void apply_lists(struct sch *s, struct sch_vm *vm,
 			const struct Rp__VmReport *report)
 {
@@ -390,6 +430,8 @@
 			continue;
 		}
 		g_hash_table_add(vm->unknown_runs, g_strdup(row->run->task));
+		s->stats.unknown_runs++;
+		log_unknown_run(vm, row->run);
 		sch_vm_order_stop(vm, row->run->task, row->run->attempt);
 	}
 	sch_interference_learn(s, vm, report);
@@ -505,7 +547,6 @@
 	gint64 earlier_leaders_until_ms = s->elected_ms +
 					  s->options.leadership_valid_ms +
 					  lease_ms + LEASE_SLACK_MS;
-	gint64 clock_ms;
 
 	/* The agent may have sent this incarnation a lease that was granted to
 	 * the previous one. */
@@ -520,10 +561,7 @@
 		return FALSE;
 	if (!vm->lease_until_ms)
 		return TRUE;
-	clock_ms = vm->clock_ms +
-		   (gint64)((double)(s->now_ms - vm->clock_read_ms) *
-			    CLOCK_RATE_MIN);
-	return clock_ms > vm->lease_until_ms + LEASE_SLACK_MS;
+	return clock_now_ms(s, vm) > vm->lease_until_ms + LEASE_SLACK_MS;
 }
 
 void sch_vm_expire_leases(struct sch *s)
