sched: void the orders of runs that are given up before a new lease

What callers saw: a task ran twice at a time or after it was done (TWICE), more tasks than a VM has room for (LIMIT), too many on one VM (ROUTE), and failures beyond max_attempts (BUDGET). Cause: when a worker's lease had certainly expired, the leader removed its runs and placed their tasks elsewhere, and with the next answer of the worker it granted a new lease. The orders of these runs were still in force: they waited in the agent, which sends two at a time, and could wait at a worker that carries out calls late. Under the new lease they ran. The fencing token, which makes old orders void, changed only with the leader. A new connection and a new agent process used the same token too, while the agent forgets which starts were unanswered. Change: the token belongs to a session with an agent. Each connection, each incarnation of the worker, and each loss of runs that were ordered starts one. The agent already sends neither lease nor start before the worker has answered with the token of the last LeaderHello, and drops its orders then.

--- a/bench/steps.c
+++ b/bench/steps.c
@@ -69,6 +69,8 @@
 	GHashTable *by_id;
 	/** End of the transaction in flight, or 0. */
 	gint64 commit_ms;
+	/** Of the store. */
+	guint64 revision;
 };
 
 /** Properties of each kind of job, as the users describe their jobs; steps to
@@ -163,10 +165,17 @@
 
 static void carry_out(struct steps *m, struct sch_effect *e)
 {
+	struct Rp__Frame *hello;
 	struct vm *vm;
 	guint i;
 
 	switch (e->kind) {
+	case SCH_EFFECT_SESSION:
+		hello = wire_frame_new(RP__FRAME__BODY_LEADER_HELLO);
+		hello->leader_hello->fence = e->fencing_token;
+		wire_write(m->vms[atoi(e->vm + 2)].to_agent, hello, NULL);
+		wire_frame_free(hello);
+		break;
 	case SCH_EFFECT_ORDERS:
 		vm = &m->vms[atoi(e->vm + 2)];
 		wire_write(vm->to_agent, e->frame, NULL);
@@ -295,9 +304,14 @@
 
 	m->result->frame_bytes += evbuffer_get_length(vm->to_agent);
 	while (wire_read(vm->to_agent, &frame, NULL) > 0) {
-		struct runs_event ev = { .kind = RUNS_EVENT_ORDERS,
-					 .orders = frame->vm_orders };
+		struct runs_event ev = { .kind = RUNS_EVENT_ORDERS };
 
+		if (frame->body_case == RP__FRAME__BODY_LEADER_HELLO) {
+			ev.kind = RUNS_EVENT_LEADER_CONNECTED;
+			ev.fencing_token = frame->leader_hello->fence;
+		} else {
+			ev.orders = frame->vm_orders;
+		}
 		agent_reduce(m, vm, &ev);
 		wire_frame_free(frame);
 	}
@@ -446,8 +460,6 @@
 {
 	struct vm *vm = &m->vms[i];
 	struct sch_event up = { .kind = SCH_EVENT_AGENT_CONNECTED };
-	struct runs_event hello = { .kind = RUNS_EVENT_LEADER_CONNECTED,
-				    .fencing_token = FENCING_TOKEN };
 
 	vm->name = g_strdup_printf("vm%u", i);
 	vm->runs = runs_new();
@@ -457,7 +469,6 @@
 	steps_worker_init(&vm->worker, m->options->cores_per_vm);
 	up.vm = vm->name;
 	leader_reduce(m, &up);
-	agent_reduce(m, vm, &hello);
 	worker_heartbeat(m, vm);
 }
 
@@ -507,6 +518,7 @@
 		advance_vm(m, i);
 	if (m->commit_ms && m->now_ms >= m->commit_ms) {
 		m->commit_ms = 0;
+		committed.revision = ++m->revision;
 		leader_reduce(m, &committed);
 	}
 	if (m->now_ms % CONFIRMATION_MS == 0) {
@@ -540,6 +552,7 @@
 		.result = result,
 		.rand = g_rand_new_with_seed(options->seed),
 		.now_ms = START_MS,
+		.revision = FENCING_TOKEN,
 		.jobs = g_ptr_array_new_with_free_func(free_job),
 		.by_id = g_hash_table_new(g_str_hash, g_str_equal),
 		.vms = g_new0(struct vm, options->vms),
--- a/cell/entry.c
+++ b/cell/entry.c
@@ -214,11 +214,11 @@
 		cell_lead_confirmed(entry->lead, sent_ms);
 }
 
-static void on_committed(void *ctx)
+static void on_committed(void *ctx, guint64 revision)
 {
 	struct cell_entry *entry = ctx;
 
-	cell_lead_committed(entry->lead);
+	cell_lead_committed(entry->lead, revision);
 }
 
 static void on_tables(void *ctx, GBytes *document)
--- a/cell/internal.h
+++ b/cell/internal.h
@@ -140,8 +140,8 @@
 	void (*on_deposed)(void *ctx);
 	/** Leadership was confirmed by a call sent at sent_ms. */
 	void (*on_confirmed)(void *ctx, gint64 sent_ms);
-	/** The transaction of cell_store_commit() took effect. */
-	void (*on_committed)(void *ctx);
+	/** The transaction of cell_store_commit() took effect at revision. */
+	void (*on_committed)(void *ctx, guint64 revision);
 	/** The configuration tables were read or have changed. */
 	void (*on_tables)(void *ctx, GBytes *document);
 	/** A process's address was read or has changed; value is NULL if it was
@@ -208,7 +208,8 @@
 			   GBytes *value);
 /** Leadership was confirmed by a call sent at sent_ms. */
 void cell_lead_confirmed(struct cell_lead *lead, gint64 sent_ms);
-void cell_lead_committed(struct cell_lead *lead);
+/** The transaction in flight took effect at revision. */
+void cell_lead_committed(struct cell_lead *lead, guint64 revision);
 void cell_lead_tick(struct cell_lead *lead);
 gboolean cell_lead_has_tables(const struct cell_lead *lead);
 void cell_lead_update_metrics(struct cell_lead *lead);
--- a/cell/lead.c
+++ b/cell/lead.c
@@ -133,6 +133,18 @@
 	g_hash_table_remove(lead->calls, &ref);
 }
 
+static void send_leader_hello(struct node *node, guint64 fencing_token)
+{
+	struct Rp__Frame *frame = wire_frame_new(RP__FRAME__BODY_LEADER_HELLO);
+
+	frame->leader_hello->fence = fencing_token;
+	wire_set_string(&frame->leader_hello->entry, node->lead->options.name);
+	wire_set_string(&frame->leader_hello->address,
+			node->lead->options.listen);
+	cell_conn_send(node->conn, frame);
+	wire_frame_free(frame);
+}
+
 static void execute_effect(struct cell_lead *lead, struct sch_effect *effect)
 {
 	struct node *node;
@@ -141,6 +153,11 @@
 	case SCH_EFFECT_REPLY:
 		answer_call(lead, effect->call_ref, &effect->reply);
 		break;
+	case SCH_EFFECT_SESSION:
+		node = g_hash_table_lookup(lead->nodes, effect->vm);
+		if (node && node->connected)
+			send_leader_hello(node, effect->fencing_token);
+		break;
 	case SCH_EFFECT_ORDERS:
 		node = g_hash_table_lookup(lead->nodes, effect->vm);
 		if (node && node->connected)
@@ -175,18 +192,6 @@
 	lead->executing = FALSE;
 }
 
-static void send_leader_hello(struct node *node)
-{
-	struct Rp__Frame *frame = wire_frame_new(RP__FRAME__BODY_LEADER_HELLO);
-
-	frame->leader_hello->fence = node->lead->options.fencing_token;
-	wire_set_string(&frame->leader_hello->entry, node->lead->options.name);
-	wire_set_string(&frame->leader_hello->address,
-			node->lead->options.listen);
-	cell_conn_send(node->conn, frame);
-	wire_frame_free(frame);
-}
-
 static void on_connect(void *ctx, struct cell_conn *conn G_GNUC_UNUSED)
 {
 	struct node *node = ctx;
@@ -197,9 +202,11 @@
 	node->dial_wait_ms = DIAL_FIRST_WAIT_MS;
 	node->reached_ms = net_now_ms();
 	g_info("connected to %s at %s", node->name, node->address);
-	send_leader_hello(node);
+	/* To an agent it is sent as the scheduler starts a session. */
 	if (node->role == CELL_ROLE_AGENT)
 		reduce(node->lead, &ev);
+	else
+		send_leader_hello(node, node->lead->options.fencing_token);
 }
 
 /* Handles the end of a connection or a failed attempt to connect. */
@@ -413,9 +420,10 @@
 	reduce(lead, &ev);
 }
 
-void cell_lead_committed(struct cell_lead *lead)
+void cell_lead_committed(struct cell_lead *lead, guint64 revision)
 {
-	struct sch_event ev = { .kind = SCH_EVENT_COMMITTED };
+	struct sch_event ev = { .kind = SCH_EVENT_COMMITTED,
+				.revision = revision };
 
 	reduce(lead, &ev);
 }
--- a/cell/store.c
+++ b/cell/store.c
@@ -448,7 +448,7 @@
 	store->txn = NULL;
 	store->txn_sent = FALSE;
 	store->commit_revision = revision;
-	store->handler.on_committed(store->handler.ctx);
+	store->handler.on_committed(store->handler.ctx, (guint64)revision);
 }
 
 /* Checks why the comparisons of the transaction failed: an earlier send of it
--- a/sched/commit.c
+++ b/sched/commit.c
@@ -91,12 +91,13 @@
 
 void sch_commit_start(struct sch *s)
 {
-	gint64 interval_ms = s->awaited.head ? AWAITED_INTERVAL_MS
-					     : BACKGROUND_INTERVAL_MS;
+	gint64 interval_ms = s->awaited.head || s->revision_due
+				     ? AWAITED_INTERVAL_MS
+				     : BACKGROUND_INTERVAL_MS;
 	struct sch_effect *effect;
 	struct kv_txn *txn;
 
-	if (s->commit || !s->dirty.head ||
+	if (s->commit || (!s->dirty.head && !s->revision_due) ||
 	    s->now_ms < s->last_commit_ms + interval_ms)
 		return;
 	txn = kv_txn_new();
@@ -108,6 +109,7 @@
 		add_job(job, txn);
 		g_ptr_array_add(s->commit, job);
 	}
+	s->revision_due = FALSE;
 	s->commit_sent_ms = s->now_ms;
 	s->stats.commits++;
 	effect = sch_effect_add(s, SCH_EFFECT_COMMIT);
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -77,6 +77,10 @@
 	/** Name of the agent's VM. */
 	char *name;
 	gboolean connected;
+	/** Of the session with the agent; 0 before the first. */
+	guint64 fencing_token;
+	/** A session is to be started; until then nothing is sent. */
+	gboolean session_due;
 	/** Incarnation of the worker: its id and its start, Unix time. */
 	char *worker_id;
 	guint64 worker_started_ms;
@@ -87,7 +91,7 @@
 	gint64 incarnation_first_seen_ms;
 	/** The agent has described this incarnation to this leader. */
 	gboolean info_received;
-	/** Run lists of this incarnation came over the current connection. */
+	/** Run lists of this incarnation came in the current session. */
 	gboolean synced;
 	/**
 	 * Run lists or the lease came under this leader's fencing token, so no
@@ -362,6 +366,10 @@
 	/** Jobs in the transaction in flight, or NULL. */
 	GPtrArray *commit;
 	gint64 commit_sent_ms;
+	/** Of the election or the last transaction that took effect. */
+	guint64 last_revision;
+	/** A session needs a higher revision than the last. */
+	gboolean revision_due;
 	/** When the last transaction took effect. */
 	gint64 last_commit_ms;
 	/** Ended jobs that may have no runs left, so that their tasks can be
@@ -468,6 +476,8 @@
 			    const char *worker_id, guint64 started_ms);
 /** Drops the runs of workers whose leases have certainly expired. */
 void sch_vm_expire_leases(struct sch *s);
+/** Starts the sessions that are due. */
+void sch_vm_start_sessions(struct sch *s);
 /** Sends orders to each connected agent that has any due. */
 void sch_vm_send_orders(struct sch *s);
 /** TRUE if new tasks may start on the VM. */
--- a/sched/leader_test.h
+++ b/sched/leader_test.h
@@ -11,6 +11,8 @@
 struct leader {
 	struct sch *s;
 	gint64 now_ms;
+	/** Of the store. */
+	guint64 revision;
 	GArray *effects;
 	/** Content of the last reply; status 0 if there was none. */
 	guint status;
@@ -77,6 +79,7 @@
 
 	tick(l, 200);
 	while (l->s->commit) {
+		ev.revision = ++l->revision;
 		reduce(l, &ev);
 		tick(l, 200);
 	}
@@ -112,6 +115,7 @@
 
 	memset(l, 0, sizeof(*l));
 	l->now_ms = 100000;
+	l->revision = FENCING_TOKEN;
 	l->s = sch_new(&options, l->now_ms);
 	l->effects = g_array_new(FALSE, FALSE, sizeof(struct sch_effect));
 	reduce(l, &ev);
@@ -140,8 +144,10 @@
 	guint measurement;
 };
 
-static void report(struct leader *l, const char *vm, guint64 worker_started_ms,
-		   const struct row *rows, size_t n)
+/* Reports in the session of the fencing token. */
+static void report_in_session(struct leader *l, guint64 fencing_token,
+			      const char *vm, guint64 worker_started_ms,
+			      const struct row *rows, size_t n)
 {
 	struct Rp__VmReport body;
 	struct Rp__WorkerInfo info;
@@ -165,7 +171,7 @@
 	info.born_ms = worker_started_ms;
 	info.pool = (char *)"p";
 	info.capacity = &capacity;
-	body.fence = FENCING_TOKEN;
+	body.fence = fencing_token;
 	body.worker = &info;
 	body.clock_ms = l->now_ms - 90000;
 	body.listed = TRUE;
@@ -196,6 +202,13 @@
 	reduce(l, &ev);
 }
 
+static void report(struct leader *l, const char *vm, guint64 worker_started_ms,
+		   const struct row *rows, size_t n)
+{
+	report_in_session(l, sch_vm_get(l->s, vm)->fencing_token, vm,
+			  worker_started_ms, rows, n);
+}
+
 static void add_vm(struct leader *l, const char *vm)
 {
 	struct sch_event ev = { .kind = SCH_EVENT_AGENT_CONNECTED, .vm = vm };
--- a/sched/model_test.c
+++ b/sched/model_test.c
@@ -121,6 +121,15 @@
 	g_ptr_array_add(m->frames, f);
 }
 
+static void send_hello(struct model *m, guint leader, int vm,
+		       guint64 fencing_token)
+{
+	struct Rp__Frame *frame = wire_frame_new(RP__FRAME__BODY_LEADER_HELLO);
+
+	frame->leader_hello->fence = fencing_token;
+	send_frame(m, leader, vm, TRUE, frame);
+}
+
 static void agent_reduce(struct model *m, int vm, struct runs_event *ev)
 {
 	g_autoptr(GArray)
@@ -177,6 +186,10 @@
 		gpointer value;
 
 		switch (e->kind) {
+		case SCH_EFFECT_SESSION:
+			send_hello(m, leader, atoi(e->vm + 2),
+				   e->fencing_token);
+			break;
 		case SCH_EFFECT_ORDERS:
 			send_frame(m, leader, atoi(e->vm + 2), TRUE,
 				   g_steal_pointer(&e->frame));
@@ -235,7 +248,7 @@
 	}
 	kv_txn_free(l->txn);
 	l->txn = NULL;
-	m->revision++;
+	ev.revision = ++m->revision;
 	/* The leader is replaced before it receives the answer. */
 	if (fault_occurs(m, 0.02)) {
 		m->next_leader_ms = m->now_ms;
@@ -389,6 +402,7 @@
 {
 	m->vms[vm].runs = runs_new();
 	m->vms[vm].agent_epoch++;
+	m->vms[vm].elected_revision = 0;
 }
 
 static void agent_stop(struct model *m, int vm)
@@ -435,14 +449,12 @@
 {
 	struct model_leader *l = &m->leaders[leader];
 	struct model_vm *v = &m->vms[vm];
-	struct runs_event hello = { .kind = RUNS_EVENT_LEADER_CONNECTED,
-				    .fencing_token = l->fencing_token };
 	struct sch_event ev = { .kind = SCH_EVENT_AGENT_CONNECTED };
 	g_autofree char *name = g_strdup_printf("vm%d", vm);
 	guint old = v->leader;
 
 	l->reconnect_ms[vm] = m->now_ms + 300;
-	if (!v->runs || !runs_accepts_leader(v->runs, l->fencing_token) ||
+	if (!v->runs || l->fencing_token < v->elected_revision ||
 	    fault_occurs(m, 0.2))
 		return;
 	if (old != leader && m->leaders[old].sch &&
@@ -457,9 +469,25 @@
 	l->connected[vm] = TRUE;
 	l->link_epoch[vm]++;
 	v->leader = leader;
+	v->elected_revision = l->fencing_token;
 	ev.vm = name;
 	leader_reduce(m, leader, &ev);
-	agent_reduce(m, vm, &hello);
+}
+
+static void deliver_to_agent(struct model *m, int vm,
+			     const struct Rp__Frame *frame)
+{
+	struct runs_event ev = { .kind = RUNS_EVENT_ORDERS };
+
+	if (frame->body_case == RP__FRAME__BODY_LEADER_HELLO) {
+		ev.kind = RUNS_EVENT_LEADER_CONNECTED;
+		ev.fencing_token = frame->leader_hello->fence;
+		if (!runs_accepts_leader(m->vms[vm].runs, ev.fencing_token))
+			return;
+	} else {
+		ev.orders = frame->vm_orders;
+	}
+	agent_reduce(m, vm, &ev);
 }
 
 static void run_frames(struct model *m)
@@ -479,12 +507,7 @@
 		}
 		g_ptr_array_remove_index(m->frames, i);
 		if (live && f->to_agent && m->vms[f->vm].runs) {
-			struct runs_event ev = {
-				.kind = RUNS_EVENT_ORDERS,
-				.orders = f->frame->vm_orders,
-			};
-
-			agent_reduce(m, f->vm, &ev);
+			deliver_to_agent(m, f->vm, f->frame);
 		} else if (live && !f->to_agent) {
 			struct sch_event ev = {
 				.kind = SCH_EVENT_REPORT,
--- a/sched/model_test.h
+++ b/sched/model_test.h
@@ -112,6 +112,8 @@
 	struct model_worker worker;
 	/** Index of the leader that the agent accepts orders from. */
 	guint leader;
+	/** Revision at which that leader was elected; 0 for none. */
+	guint64 elected_revision;
 	/** Until then the worker leaves most calls unanswered. */
 	gint64 unresponsive_until_ms;
 };
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -80,6 +80,7 @@
 	s->active = g_ptr_array_new();
 	s->closing = g_ptr_array_new();
 	s->next_record_change = 1;
+	s->last_revision = options->fencing_token;
 	return s;
 }
 
@@ -176,6 +177,7 @@
 		sch_vm_report(s, ev->vm, ev->report);
 		break;
 	case SCH_EVENT_COMMITTED:
+		s->last_revision = MAX(s->last_revision, ev->revision);
 		sch_commit_done(s);
 		break;
 	case SCH_EVENT_DEPOSED:
@@ -193,6 +195,7 @@
 	if (ev->kind != SCH_EVENT_DEPOSED) {
 		sch_job_close_ended(s);
 		sch_place(s);
+		sch_vm_start_sessions(s);
 		sch_commit_start(s);
 		sch_vm_send_orders(s);
 	}
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -14,11 +14,19 @@
  * A job has steps, which may depend on each other, and each step has replicas,
  * its tasks; a job may recur (occurrences). A run is one execution of a task.
  *
- * At most one entry leads. Its fencing token, the revision at which it was
- * elected, is unique and rises, and workers refuse orders with a lower one. A
- * start is ordered only after the record that names its VM is durable, and only
- * the elected leader can write records, so a new leader finds every run that
- * may exist in the records.
+ * At most one entry leads. A start is ordered only after the record that names
+ * its VM is durable, and only the elected leader can write records, so a new
+ * leader finds every run that may exist in the records.
+ *
+ * The leader speaks to each agent in sessions. The fencing token of a session
+ * is the revision at which the leader was elected or has last written, so it is
+ * higher than those of all earlier sessions of the VM, also of earlier leaders,
+ * and lower than those of later leaders. A worker refuses calls with a lower
+ * token than the highest that it has seen. A session starts with each
+ * connection, with each incarnation of the worker, and when runs are given up
+ * whose orders may still wait in the agent or at the worker; it grants no lease
+ * and starts nothing before the worker has answered under its token. So no
+ * order of an earlier session takes effect under a lease of a later one.
  */
 
 /** Prefixes of keys in the key-value store; the job's id follows. */
@@ -50,7 +58,7 @@
 void sch_queue_free(struct sch_queue *queue);
 
 struct sch_options {
-	/** Identifies the leadership term; see above. */
+	/** The revision at which this process was elected; see above. */
 	guint64 fencing_token;
 	/** A worker's lease ends this long after the last clock reading. */
 	gint64 lease_ms;
@@ -77,7 +85,7 @@
 	SCH_EVENT_AGENT_DISCONNECTED,
 	/** report is owned by the I/O layer. */
 	SCH_EVENT_REPORT,
-	/** The transaction in flight took effect. */
+	/** The transaction in flight took effect at revision. */
 	SCH_EVENT_COMMITTED,
 	/** Another process was elected; all pending calls are answered. */
 	SCH_EVENT_DEPOSED,
@@ -88,6 +96,8 @@
 	gint64 now_ms;
 	gint64 unix_ms;
 	gint64 confirmed_ms;
+	/** Of the key-value store. */
+	guint64 revision;
 	/** Of struct sch_queue pointers. */
 	GPtrArray *queues;
 	guint64 call_ref;
@@ -99,6 +109,8 @@
 enum sch_effect_kind {
 	/** Answers call_ref with reply. */
 	SCH_EFFECT_REPLY,
+	/** Starts a session with the agent of vm under fencing_token. */
+	SCH_EFFECT_SESSION,
 	/** Sends frame to the agent of vm. */
 	SCH_EFFECT_ORDERS,
 	/** Writes txn on condition that this process is still the leader. */
@@ -111,6 +123,7 @@
 	guint64 call_ref;
 	struct Rp__StepReply reply;
 	char *vm;
+	guint64 fencing_token;
 	struct Rp__Frame *frame;
 	struct kv_txn *txn;
 };
--- a/sched/sched_test.c
+++ b/sched/sched_test.c
@@ -392,6 +392,117 @@
 }
 END_TEST
 
+/* Connects or disconnects the agent of vm1. */
+static void set_connected(struct leader *l, gboolean connected)
+{
+	struct sch_event ev = {
+		.kind = connected ? SCH_EVENT_AGENT_CONNECTED
+				  : SCH_EVENT_AGENT_DISCONNECTED,
+		.vm = "vm1",
+	};
+
+	reduce(l, &ev);
+}
+
+static void submit_one_task(struct leader *l)
+{
+	struct Rp__StepSpec step;
+	struct Rp__Resources need;
+	struct Rp__StepSpec *steps[] = { &step };
+
+	init_step(&step, &need, 1, 1000);
+	submit(l, "/q/a", steps, 1);
+	commit(l);
+}
+
+/* The last orders in the effects, or NULL. */
+static const struct Rp__VmOrders *last_orders(const struct leader *l)
+{
+	guint i;
+
+	for (i = l->effects->len; i-- > 0;) {
+		const struct sch_effect *e =
+			&g_array_index(l->effects, struct sch_effect, i);
+
+		if (e->kind == SCH_EFFECT_ORDERS)
+			return e->frame->vm_orders;
+	}
+	return NULL;
+}
+
+/* Guards against a start that waits in the agent, or unanswered at the worker,
+ * and takes effect under a lease granted after the run was given up. */
+START_TEST(test_lost_run_cannot_start_under_new_lease)
+{
+	struct leader l;
+	const struct Rp__VmOrders *orders;
+	guint64 first;
+	guint i;
+
+	setup(&l);
+	add_vm(&l, "vm1");
+	/* Longer than a lease of an earlier incarnation can be in force. */
+	for (i = 0; i < 20; i++) {
+		tick(&l, 1000);
+		confirm_leadership(&l);
+		report(&l, "vm1", 50, NULL, 0);
+	}
+	first = last_orders(&l)->fence;
+	submit_one_task(&l);
+	ck_assert_uint_eq(last_orders(&l)->n_starts, 1);
+	tick(&l, 8000);
+	ck_assert_uint_eq(task(&l, "a.0.0.0")->n_runs, 0);
+	confirm_leadership(&l);
+	commit(&l);
+	clear_effects(&l);
+	/* The worker answers again, but not yet to calls with a new token. */
+	report_in_session(&l, first, "vm1", 50, NULL, 0);
+	tick(&l, 1000);
+	orders = last_orders(&l);
+	ck_assert_ptr_nonnull(orders);
+	ck_assert_uint_gt(orders->fence, first);
+	ck_assert_uint_eq(orders->n_starts, 0);
+	ck_assert_int_le(orders->lease_until_ms, 30000 + 7000);
+	report(&l, "vm1", 50, NULL, 0);
+	commit(&l);
+	orders = last_orders(&l);
+	ck_assert_uint_eq(orders->n_starts, 1);
+	ck_assert_uint_eq(orders->starts[0]->run->attempt, 2);
+	ck_assert_int_gt(orders->lease_until_ms, 30000 + 7000);
+	teardown(&l);
+}
+END_TEST
+
+/* Guards against a start that an earlier agent process sent and that takes
+ * effect after the new process reported the run as not started. */
+START_TEST(test_each_connection_has_its_own_token)
+{
+	struct leader l;
+	guint64 first;
+	guint64 second;
+
+	setup(&l);
+	add_vm(&l, "vm1");
+	submit_one_task(&l);
+	first = last_orders(&l)->fence;
+	set_connected(&l, FALSE);
+	set_connected(&l, TRUE);
+	report(&l, "vm1", 50, NULL, 0);
+	second = last_orders(&l)->fence;
+	ck_assert_uint_gt(second, first);
+	/* Without a later revision, nothing is sent until there is one. */
+	set_connected(&l, FALSE);
+	clear_effects(&l);
+	set_connected(&l, TRUE);
+	ck_assert_ptr_null(last_orders(&l));
+	commit(&l);
+	report(&l, "vm1", 50, NULL, 0);
+	ck_assert_uint_gt(last_orders(&l)->fence, second);
+	ck_assert_uint_eq(count_orders(&l, FALSE), 1);
+	teardown(&l);
+}
+END_TEST
+
 /*
  * Guards against a task that is retried too late after its worker became
  * unresponsive: a new leader would wait for any lease that an earlier leader
@@ -483,6 +594,8 @@
 	tcase_add_test(tcase, test_speculative_run_fails_after_task_is_done);
 	tcase_add_test(tcase, test_removed_queue);
 	tcase_add_test(tcase, test_lost_vm_waits_for_lease);
+	tcase_add_test(tcase, test_lost_run_cannot_start_under_new_lease);
+	tcase_add_test(tcase, test_each_connection_has_its_own_token);
 	tcase_add_test(tcase, test_agent_reports_lease_of_unresponsive_worker);
 	tcase_add_test(tcase, test_damaged_records);
 	suite_add_tcase(suite, tcase);
--- a/sched/vm.c
+++ b/sched/vm.c
@@ -7,8 +7,10 @@
  * has deregistered, or if its lease has certainly expired. When a worker
  * restarts, its earlier runs have ended, but their start orders may still reach
  * the new incarnation. Until that is ruled out they are kept, marked as
- * orphaned. Leases are evaluated on the worker's own clock: a reading c at time
- * t means that the clock shows at least c + 0.98 (now - t).
+ * orphaned. Orders of runs that are given up otherwise may still wait in the
+ * agent or at the worker, so a new session makes them void. Leases are
+ * evaluated on the worker's own clock: a reading c at time t means that the
+ * clock shows at least c + 0.98 (now - t).
  */
 
 /** Lower bound of the rate of workers' clocks, relative to the leader's. */
@@ -108,6 +110,39 @@
 			 clock_now_ms(s, vm), s->now_ms - vm->clock_read_ms);
 }
 
+/* Ends the session: what was ordered in it is void once the worker has answered
+ * in the next one. */
+static void end_session(struct sch_vm *vm)
+{
+	vm->session_due = TRUE;
+	vm->synced = FALSE;
+}
+
+void sch_vm_start_sessions(struct sch *s)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, s->vms);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct sch_vm *vm = value;
+		struct sch_effect *effect;
+
+		if (!vm->connected || !vm->session_due)
+			continue;
+		if (s->last_revision <= vm->fencing_token) {
+			s->revision_due = TRUE;
+			continue;
+		}
+		vm->fencing_token = s->last_revision;
+		vm->session_due = FALSE;
+		vm->orders_sent_ms = 0;
+		effect = sch_effect_add(s, SCH_EFFECT_SESSION);
+		effect->vm = g_strdup(vm->name);
+		effect->fencing_token = vm->fencing_token;
+	}
+}
+
 static void lose_runs(struct sch *s, struct sch_vm *vm, const char *why)
 {
 	guint i = 0;
@@ -124,6 +159,8 @@
 			continue;
 		}
 		log_lost_run(s, run);
+		if (run->state != SCH_RUN_PLANNED)
+			end_session(vm);
 		sch_run_remove(s, run);
 		lost++;
 	}
@@ -162,8 +199,10 @@
 void sch_vm_set_incarnation(struct sch *s, struct sch_vm *vm,
 			    const char *worker_id, guint64 started_ms)
 {
-	if (vm->worker_id)
+	if (vm->worker_id) {
 		mark_orphaned(s, vm);
+		end_session(vm);
+	}
 	g_free(vm->worker_id);
 	vm->worker_id = g_strdup(worker_id);
 	vm->worker_started_ms = started_ms;
@@ -190,8 +229,7 @@
 	struct sch_vm *vm = sch_vm_get(s, name);
 
 	vm->connected = TRUE;
-	vm->synced = FALSE;
-	vm->orders_sent_ms = 0;
+	end_session(vm);
 }
 
 void sch_vm_disconnected(struct sch *s, const char *name)
@@ -517,7 +555,7 @@
 	struct sch_vm *vm = sch_vm_get(s, name);
 	size_t i;
 
-	if (report->fence != s->options.fencing_token)
+	if (vm->session_due || report->fence != vm->fencing_token)
 		return;
 	vm->last_report_ms = s->now_ms;
 	vm->unresponsive_ms = report->silent_ms;
@@ -527,7 +565,7 @@
 		vm->info_received = FALSE;
 		return;
 	}
-	if (!update_incarnation(s, vm, report->worker))
+	if (!update_incarnation(s, vm, report->worker) || vm->session_due)
 		return;
 	update_clock_and_lease(s, vm, report);
 	for (i = 0; i < report->n_ended; i++)
@@ -655,7 +693,7 @@
 	orders = effect->frame->vm_orders;
 	/* Wire names: fence is the fencing token, and ends up to ended_through
 	 * are acknowledged. */
-	orders->fence = s->options.fencing_token;
+	orders->fence = vm->fencing_token;
 	if (vm->info_received) {
 		wire_set_string(&orders->worker_id, vm->worker_id);
 		orders->worker_born_ms = vm->worker_started_ms;
@@ -687,7 +725,7 @@
 		struct sch_vm *vm = value;
 		gint64 since_orders_ms = s->now_ms - vm->orders_sent_ms;
 
-		if (!vm->connected)
+		if (!vm->connected || vm->session_due)
 			continue;
 		acknowledge_ends(vm, first_unsaved);
 		if (since_orders_ms >= ORDERS_INTERVAL_MS ||
