runs: repeat failed lease renewals without a wait

Cause: a renewal is a long poll of 500 ms with 600 ms more for its answer, so a lease of 7 s has room for six attempts. Consecutive losses are independent (60 % of the renewals after a lost one are answered), so the connection is not the cause. Change: after a failure, renewals ask for an answer at once and are given up after 350 ms, as starts and stops are. The model's test has its time limit in the file, so that it also runs outside tests/run.

--- a/runs/hold.c
+++ b/runs/hold.c
@@ -13,6 +13,10 @@
 /** Time that a renewal may take beyond its wait. */
 #define RENEWAL_MARGIN_MS 600
 
+/** Time that a renewal may take after a failed one. It does not wait for ends,
+ * so that many attempts fit into the rest of the lease. */
+#define RENEWAL_REPEAT_TIMEOUT_MS 350
+
 /** Delay after a renewal that was answered at once without a new end. */
 #define RENEWAL_PAUSE_MS 100
 
@@ -21,12 +25,14 @@
 
 void runs_renewal_send(struct runs *r)
 {
+	gint64 timeout_ms = r->failed_renewals
+				    ? RENEWAL_REPEAT_TIMEOUT_MS
+				    : RENEWAL_WAIT_MS + RENEWAL_MARGIN_MS;
 	struct runs_call *call;
 
 	if (r->renewal_call || r->now_ms < r->next_renewal_ms)
 		return;
-	call = runs_call_new(r, RUNS_CALL_RENEW_LEASE,
-			     RENEWAL_WAIT_MS + RENEWAL_MARGIN_MS);
+	call = runs_call_new(r, RUNS_CALL_RENEW_LEASE, timeout_ms);
 	call->acked_through = r->acked_through;
 	/*
 	 * Another incarnation may answer, to which the lease and the
@@ -37,7 +43,8 @@
 		call->acked_through = 0;
 	}
 	/* The first run lists under a fencing token are needed at once. */
-	call->wait_ms = r->lists_valid ? RENEWAL_WAIT_MS : 0;
+	call->wait_ms = r->lists_valid && !r->failed_renewals ? RENEWAL_WAIT_MS
+							      : 0;
 	r->renewal_call = call->id;
 	r->renewal_sent_ms = r->now_ms;
 	runs_call_send(r, call);
--- a/runs/runs_test.c
+++ b/runs/runs_test.c
@@ -251,6 +251,36 @@
 }
 END_TEST
 
+/* Guards against a lease that lapses because a worker answers only some calls
+ * and renewals are repeated too seldom. */
+START_TEST(test_failed_renewals_are_repeated_often)
+{
+	struct agent a;
+	guint repeats = 0;
+	gint64 end_ms;
+
+	setup(&a);
+	clear_effects(&a);
+	answer_call(&a, a.renewal, RUNS_NO_ANSWER, NULL, 0);
+	end_ms = a.now_ms + 7000;
+	while (a.now_ms < end_ms) {
+		struct runs_call *c;
+
+		clear_effects(&a);
+		tick(&a, 100);
+		c = call(&a, RUNS_CALL_RENEW_LEASE);
+		if (!c)
+			continue;
+		repeats++;
+		ck_assert_int_eq(c->wait_ms, 0);
+		a.now_ms += c->timeout_ms;
+		answer_call(&a, c->id, RUNS_NO_ANSWER, NULL, 0);
+	}
+	ck_assert_uint_ge(repeats, 12);
+	teardown(&a);
+}
+END_TEST
+
 /* Guards against a start on a draining worker. The run is stopped instead,
  * since an earlier agent process may have sent the start. */
 START_TEST(test_draining_worker_starts_nothing)
@@ -490,6 +520,7 @@
 	tcase_add_test(tcase, test_refused_start_is_never_sent_again);
 	tcase_add_test(tcase,
 		       test_unverified_incarnation_gets_no_lease_or_start);
+	tcase_add_test(tcase, test_failed_renewals_are_repeated_often);
 	tcase_add_test(tcase, test_draining_worker_starts_nothing);
 	tcase_add_test(tcase, test_lower_fencing_token_is_refused);
 	tcase_add_test(tcase, test_orders_for_another_incarnation_are_dropped);
--- a/sched/model_test.c
+++ b/sched/model_test.c
@@ -805,6 +805,8 @@
 
 	fixture_drop_logs();
 	g_log_set_default_handler(drop_log, NULL);
+	/* Seconds; the seeds take longer than the default of check. */
+	tcase_set_timeout(tcase, 180);
 	tcase_add_test(tcase, test_random_faults);
 	tcase_add_test(tcase, test_abandoned_starts_never_run);
 	suite_add_tcase(suite, tcase);
