sched: place nothing on a worker whose lease has expired

Cause: a worker that answers some calls but no renewal counts as responsive, while its clock is not read and its lease is not extended. Change: a worker whose lease the leader takes as expired gets no tasks until it is extended. test_no_start_under_expired_lease fails without the change (2 attempts). Tried as well and reverted: counting a worker as unresponsive by its renewals alone.

--- a/sched/sched_test.c
+++ b/sched/sched_test.c
@@ -503,6 +503,30 @@
 }
 END_TEST
 
+/* Guards against a start on a worker whose lease has expired: the run would be
+ * given up at once. */
+START_TEST(test_no_start_under_expired_lease)
+{
+	struct leader l;
+
+	setup(&l);
+	add_vm(&l, "vm1");
+	/* These orders do not extend the lease, since the confirmation is too
+	 * old; the next ones do. */
+	tick(&l, 20000);
+	confirm_leadership(&l);
+	report(&l, "vm1", 50, NULL, 0);
+	submit_one_task(&l);
+	ck_assert_uint_eq(task(&l, "a.0.0.0")->attempts, 0);
+	tick(&l, 1000);
+	tick(&l, 1000);
+	commit(&l);
+	ck_assert_uint_eq(task(&l, "a.0.0.0")->attempts, 1);
+	ck_assert_uint_eq(task(&l, "a.0.0.0")->n_runs, 1);
+	teardown(&l);
+}
+END_TEST
+
 /*
  * Guards against a task that is retried too late after its worker became
  * unresponsive: a new leader would wait for any lease that an earlier leader
@@ -596,6 +620,7 @@
 	tcase_add_test(tcase, test_lost_vm_waits_for_lease);
 	tcase_add_test(tcase, test_lost_run_cannot_start_under_new_lease);
 	tcase_add_test(tcase, test_each_connection_has_its_own_token);
+	tcase_add_test(tcase, test_no_start_under_expired_lease);
 	tcase_add_test(tcase, test_agent_reports_lease_of_unresponsive_worker);
 	tcase_add_test(tcase, test_damaged_records);
 	suite_add_tcase(suite, tcase);
--- a/sched/vm.c
+++ b/sched/vm.c
@@ -256,6 +256,30 @@
 	return FALSE;
 }
 
+static gboolean lease_has_expired(const struct sch *s, const struct sch_vm *vm)
+{
+	gint64 lease_ms =
+		(gint64)((double)s->options.lease_ms / CLOCK_RATE_MIN);
+	gint64 earlier_leaders_until_ms = s->elected_ms +
+					  s->options.leadership_valid_ms +
+					  lease_ms + LEASE_SLACK_MS;
+
+	/* The agent may have sent this incarnation a lease that was granted to
+	 * the previous one. */
+	if (vm->incarnation_first_seen_ms &&
+	    s->now_ms <= vm->incarnation_first_seen_ms +
+				 SCH_MAX_ORDER_DELAY_MS +
+				 (gint64)(SCH_MAX_LEASE_MS / CLOCK_RATE_MIN))
+		return FALSE;
+	/* Before vm->adopted, earlier leaders may have extended the lease. */
+	if ((!vm->adopted || !vm->lease_until_ms) &&
+	    s->now_ms <= earlier_leaders_until_ms)
+		return FALSE;
+	if (!vm->lease_until_ms)
+		return TRUE;
+	return clock_now_ms(s, vm) > vm->lease_until_ms + LEASE_SLACK_MS;
+}
+
 gboolean sch_vm_is_usable(const struct sch *s, const struct sch_vm *vm)
 {
 	return vm->connected && vm->info_received && vm->synced &&
@@ -263,6 +287,7 @@
 	       s->now_ms - vm->last_report_ms < SCH_REPORT_MAX_AGE_MS &&
 	       vm->unresponsive_ms < UNRESPONSIVE_MS &&
 	       s->now_ms >= vm->quarantine_until_ms &&
+	       !lease_has_expired(s, vm) &&
 	       !g_hash_table_size(vm->unknown_runs);
 }
 
@@ -578,30 +603,6 @@
 		apply_answer(s, vm, report->answers[i]);
 }
 
-static gboolean lease_has_expired(const struct sch *s, const struct sch_vm *vm)
-{
-	gint64 lease_ms =
-		(gint64)((double)s->options.lease_ms / CLOCK_RATE_MIN);
-	gint64 earlier_leaders_until_ms = s->elected_ms +
-					  s->options.leadership_valid_ms +
-					  lease_ms + LEASE_SLACK_MS;
-
-	/* The agent may have sent this incarnation a lease that was granted to
-	 * the previous one. */
-	if (vm->incarnation_first_seen_ms &&
-	    s->now_ms <= vm->incarnation_first_seen_ms +
-				 SCH_MAX_ORDER_DELAY_MS +
-				 (gint64)(SCH_MAX_LEASE_MS / CLOCK_RATE_MIN))
-		return FALSE;
-	/* Before vm->adopted, earlier leaders may have extended the lease. */
-	if ((!vm->adopted || !vm->lease_until_ms) &&
-	    s->now_ms <= earlier_leaders_until_ms)
-		return FALSE;
-	if (!vm->lease_until_ms)
-		return TRUE;
-	return clock_now_ms(s, vm) > vm->lease_until_ms + LEASE_SLACK_MS;
-}
-
 void sch_vm_expire_leases(struct sch *s)
 {
 	GHashTableIter iter;
