cell: tell the owner when a hello with a lower token ends a connection

Cause: a LeaderHello may now follow another on one connection, to start a session. One with a lower token closed the connection without a call of on_disconnected, so the agent or entry would have taken the leader as connected. Leaders never lower the token, so this was read, not seen. Change: the owner is told.

--- a/cell/follow.c
+++ b/cell/follow.c
@@ -2,7 +2,8 @@
 
 /*
  * Connections that leaders make to this process. The first frame, LeaderHello,
- * carries the leader's fencing token. Of several connections the one with the
+ * carries the leader's fencing token; another one on the same connection starts
+ * a session with a higher token. Of several connections the one with the
  * highest token is kept, and of connections from one leader the newest.
  */
 
@@ -26,8 +27,10 @@
 				  "%" G_GUINT64_FORMAT " is known",
 				  frame->leader_hello->entry, fencing_token,
 				  leader_conn->fencing_token);
-			if (conn == leader_conn->conn)
+			if (conn == leader_conn->conn) {
 				leader_conn->conn = NULL;
+				leader_conn->on_disconnected(leader_conn->ctx);
+			}
 			cell_conn_close(conn);
 			return;
 		}
