cell: test that a given-up start is not sent when the worker answers again

The leader, the agent and their connection in one event loop: the worker takes no notice of calls for 13 s, longer than any lease that may be in force. Put on the code before the change to sessions, the test fails (a8.0.0.0 starts twice); it passes now.

--- a/cell/cell_test.c
+++ b/cell/cell_test.c
@@ -42,6 +42,10 @@
 	guint starts;
 	/** Number of the worker's last end record. */
 	guint64 last_end;
+	/** The worker takes no notice of calls. */
+	gboolean unresponsive;
+	/** Highest fencing token that the worker has seen. */
+	guint64 worker_token;
 	/** The last reply to a call, if answered is TRUE. */
 	guint status;
 	Rp__JobState state;
@@ -106,6 +110,36 @@
 	}
 }
 
+/** A call without an answer. */
+struct lost_call {
+	struct cell *cell;
+	guint64 id;
+};
+
+static void on_call_timeout(evutil_socket_t fd G_GNUC_UNUSED,
+			    short what G_GNUC_UNUSED, void *arg)
+{
+	g_autofree struct lost_call *lost = arg;
+	struct runs_answer answer = { .call_id = lost->id,
+				      .outcome = RUNS_NO_ANSWER };
+
+	cell_agent_worker_answered(lost->cell->agent, &answer);
+}
+
+static void lose_call(struct cell *cell, const struct runs_call *call)
+{
+	struct timeval timeout = {
+		.tv_sec = call->timeout_ms / 1000,
+		.tv_usec = call->timeout_ms % 1000 * 1000,
+	};
+	struct lost_call *lost = g_new0(struct lost_call, 1);
+
+	lost->cell = cell;
+	lost->id = call->id;
+	event_base_once(cell->base, -1, EV_TIMEOUT, on_call_timeout, lost,
+			&timeout);
+}
+
 static void call_worker(void *ctx, const struct runs_call *call)
 {
 	struct cell *cell = ctx;
@@ -119,6 +153,17 @@
 		.ends_ms = net_now_ms() + RUN_MS,
 	};
 
+	if (cell->unresponsive) {
+		lose_call(cell, call);
+		return;
+	}
+	if (call->fencing_token < cell->worker_token) {
+		answer.outcome = RUNS_REFUSED;
+		answer.reason = "fence";
+		cell_agent_worker_answered(cell->agent, &answer);
+		return;
+	}
+	cell->worker_token = call->fencing_token;
 	if (call->kind == RUNS_CALL_START) {
 		run.task = g_strdup(call->task);
 		g_array_append_val(cell->runs, run);
@@ -449,6 +494,35 @@
 }
 END_TEST
 
+/* Guards against a start that waits in the agent while the worker does not
+ * answer, and runs beside its next attempt when the worker answers again. */
+START_TEST(test_given_up_start_is_never_sent)
+{
+	struct cell cell;
+	guint i;
+	guint k;
+
+	setup(&cell);
+	wait_ready(&cell, 0);
+	wait_ready(&cell, 1);
+	cell.unresponsive = TRUE;
+	ck_assert_uint_eq(submit(&cell, 0, "/b/a8"), 200);
+	ck_assert_uint_eq(submit(&cell, 0, "/b/a9"), 200);
+	/* Longer than any lease of a worker that the leader has just seen. */
+	run_loop_ms(&cell, 13000);
+	cell.unresponsive = FALSE;
+	wait_state(&cell, 0, "/b/a8", RP__JOB_STATE__JOB_STATE_DONE);
+	wait_state(&cell, 0, "/b/a9", RP__JOB_STATE__JOB_STATE_DONE);
+	for (i = 0; i < cell.runs->len; i++)
+		for (k = 0; k < i; k++)
+			ck_assert_str_ne(
+				g_array_index(cell.runs, struct run, i).task,
+				g_array_index(cell.runs, struct run, k).task);
+	ck_assert_uint_eq(cell.starts, 8);
+	teardown(&cell);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("cell");
@@ -462,6 +536,9 @@
 	tcase_add_test(tcase, test_key_of_an_earlier_process);
 	tcase_add_test(tcase, test_leader_is_killed);
 	tcase_add_test(tcase, test_store_unavailable);
+	tcase_add_test(tcase, test_given_up_start_is_never_sent);
+	/* Seconds. */
+	tcase_set_timeout(tcase, 60);
 	suite_add_tcase(suite, tcase);
 	return fixture_run(suite);
 }
