sched: a new leader repeats latency targets to a restarted agent

What callers saw: HARM, a service over its target for more than 4 s beside best-effort tasks that were not slowed. Cause: when run lists arrive in a new session, the leader repeats the starts of listed tasks with a target or without a declared share, since a restarted agent has forgotten them. Runs loaded from records count as ordered until their row is applied, and apply_row() then removed the repeated start before it was sent. So an agent and a leader that were both new never learned the targets again, and the agent set no CPU shares for these tasks. Change: the repeats are added after the rows have been applied.

--- a/sched/sched_test.c
+++ b/sched/sched_test.c
@@ -527,6 +527,50 @@
 }
 END_TEST
 
+/* Sets up the leader that follows l, from its records of job a. */
+static void setup_next(struct leader *next, struct leader *l)
+{
+	const struct sch_job *a = g_hash_table_lookup(l->s->jobs, "a");
+	g_autoptr(GBytes) job = sch_record_job(a);
+	g_autoptr(GBytes) progress = sch_record_progress(a);
+
+	setup(next);
+	sch_load_job(next->s, "a", g_bytes_get_data(job, NULL),
+		     g_bytes_get_size(job));
+	sch_load_progress(next->s, "a", g_bytes_get_data(progress, NULL),
+			  g_bytes_get_size(progress), UNIX_MS);
+}
+
+/* Guards against a latency target that an agent does not know, since both it
+ * and the leader were replaced while the task ran. */
+START_TEST(test_new_leader_repeats_targets_of_running_tasks)
+{
+	struct row running = { "a.0.0.0", 1,   RP__RUN_END_KIND__RUN_END_NONE,
+			       0,	  100, 20 };
+	struct leader l;
+	struct leader next;
+	struct Rp__StepSpec step;
+	struct Rp__Resources need;
+	struct Rp__StepSpec *steps[] = { &step };
+
+	setup(&l);
+	add_vm(&l, "vm1");
+	init_step(&step, &need, 1, 1000);
+	step.lasts = TRUE;
+	step.target_ms = 50;
+	submit(&l, "/q/a", steps, 1);
+	commit(&l);
+	setup_next(&next, &l);
+	set_connected(&next, TRUE);
+	report(&next, "vm1", 50, &running, 1);
+	ck_assert_uint_eq(last_orders(&next)->n_starts, 1);
+	ck_assert_uint_eq(last_orders(&next)->starts[0]->target_ms, 50);
+	ck_assert_uint_eq(task(&next, "a.0.0.0")->attempts, 1);
+	teardown(&l);
+	teardown(&next);
+}
+END_TEST
+
 /*
  * Guards against a task that is retried too late after its worker became
  * unresponsive: a new leader would wait for any lease that an earlier leader
@@ -547,21 +591,13 @@
 	struct sch_event ev = { .kind = SCH_EVENT_REPORT,
 				.vm = "vm1",
 				.report = &body };
-	g_autoptr(GBytes) job = NULL;
-	g_autoptr(GBytes) progress = NULL;
 
 	setup(&l);
 	add_vm(&l, "vm1");
 	init_step(&step, &need, 1, 1000);
 	submit(&l, "/q/a", steps, 1);
 	commit(&l);
-	job = sch_record_job(g_hash_table_lookup(l.s->jobs, "a"));
-	progress = sch_record_progress(g_hash_table_lookup(l.s->jobs, "a"));
-	setup(&next);
-	sch_load_job(next.s, "a", g_bytes_get_data(job, NULL),
-		     g_bytes_get_size(job));
-	sch_load_progress(next.s, "a", g_bytes_get_data(progress, NULL),
-			  g_bytes_get_size(progress), UNIX_MS);
+	setup_next(&next, &l);
 	reduce(&next, &up);
 	rp__vm_report__init(&body);
 	rp__worker_info__init(&info);
@@ -621,6 +657,7 @@
 	tcase_add_test(tcase, test_lost_run_cannot_start_under_new_lease);
 	tcase_add_test(tcase, test_each_connection_has_its_own_token);
 	tcase_add_test(tcase, test_no_start_under_expired_lease);
+	tcase_add_test(tcase, test_new_leader_repeats_targets_of_running_tasks);
 	tcase_add_test(tcase, test_agent_reports_lease_of_unresponsive_worker);
 	tcase_add_test(tcase, test_damaged_records);
 	suite_add_tcase(suite, tcase);
--- a/sched/vm.c
+++ b/sched/vm.c
@@ -444,11 +444,6 @@
 			run->state = SCH_RUN_ORDERED;
 			run->state_ms = s->now_ms;
 			g_ptr_array_add(vm->starts, run);
-		} else if (run->task->instance->step->target_ms ||
-			   run->task->instance->step->fills) {
-			/* A restarted agent needs their images and targets
-			 * again to set CPU shares. */
-			g_ptr_array_add(vm->starts, run);
 		}
 	}
 	vm->synced = TRUE;
@@ -461,6 +456,22 @@
 	s->place_due = TRUE;
 }
 
+/* Repeats the starts of running tasks for a restarted agent, which needs their
+ * images and targets to set CPU shares. */
+static void repeat_running(struct sch_vm *vm)
+{
+	guint i;
+
+	for (i = 0; i < vm->runs->len; i++) {
+		struct sch_run *run = vm->runs->pdata[i];
+		const struct Rp__StepSpec *step = run->task->instance->step;
+
+		if (run->state == SCH_RUN_RUNNING && !run->stopping &&
+		    (step->target_ms || step->fills))
+			g_ptr_array_add(vm->starts, run);
+	}
+}
+
 static void log_unknown_run(const struct sch_vm *vm,
 			    const struct Rp__RunName *run)
 {
@@ -476,10 +487,11 @@
 static void apply_lists(struct sch *s, struct sch_vm *vm,
 			const struct Rp__VmReport *report)
 {
+	gboolean was_synced = vm->synced;
 	size_t i;
 
 	g_hash_table_remove_all(vm->unknown_runs);
-	if (!vm->synced)
+	if (!was_synced)
 		sync_runs(s, vm, report);
 	for (i = 0; i < report->n_running; i++) {
 		const struct Rp__RunRow *row = report->running[i];
@@ -497,6 +509,9 @@
 		log_unknown_run(vm, row->run);
 		sch_vm_order_stop(vm, row->run->task, row->run->attempt);
 	}
+	/* Runs loaded from records are known to run only after their rows. */
+	if (!was_synced)
+		repeat_running(vm);
 	sch_interference_learn(s, vm, report);
 }
 
