sched, runs: a deregistration does not show that runs are over

Cause: when a worker deregistered, the leader took its runs as lost at once and placed their tasks elsewhere. A worker whose call is not acknowledged ends only some seconds later, and its lease is still in force. A late call of an earlier incarnation with the same id even made the agent give up the next one for good: the body, which names the incarnation, was not read, and later heartbeats were ignored. The agent ignores the call if it names another incarnation; a later heartbeat shows that the worker goes on.

--- a/cell/agent.c
+++ b/cell/agent.c
@@ -139,11 +139,12 @@
 }
 
 void cell_agent_worker_deregistered(struct cell_agent *agent,
-				    const char *worker_id)
+				    const char *worker_id, guint64 started_ms)
 {
 	struct runs_event ev = {
 		.kind = RUNS_EVENT_WORKER_DEREGISTERED,
 		.worker_id = worker_id,
+		.worker_started_ms = started_ms,
 	};
 
 	reduce(agent, &ev);
--- a/cell/cell.h
+++ b/cell/cell.h
@@ -106,9 +106,10 @@
 /** To be called with each description that the worker sends. */
 void cell_agent_set_worker(struct cell_agent *agent,
 			   const struct Rp__WorkerInfo *worker);
-/** To be called when the worker has deregistered. */
+/** To be called when the worker has deregistered; started_ms is its start time,
+ * Unix time, 0 if not reported. */
 void cell_agent_worker_deregistered(struct cell_agent *agent,
-				    const char *worker_id);
+				    const char *worker_id, guint64 started_ms);
 /** To be called with the outcome of each call to the worker. */
 void cell_agent_worker_answered(struct cell_agent *agent,
 				const struct runs_answer *answer);
--- a/runs/runs.c
+++ b/runs/runs.c
@@ -180,7 +180,9 @@
 
 	if (r->worker && !same && worker->born_ms < r->worker->born_ms)
 		return;
-	if (same && (r->worker->gone || worker->sequence < r->worker->sequence))
+	if (same &&
+	    (worker->sequence < r->worker->sequence ||
+	     (r->worker->gone && worker->sequence == r->worker->sequence)))
 		return;
 	if (!same) {
 		g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "MESSAGE",
@@ -188,21 +190,26 @@
 				 worker->worker_id, worker->pool);
 		reset_incarnation(r);
 	}
-	if (!same || worker->draining != r->worker->draining)
+	if (!same || r->worker->gone || worker->draining != r->worker->draining)
 		r->report_due = TRUE;
 	if (r->worker)
 		rp__worker_info__free_unpacked(r->worker, NULL);
 	r->worker = wire_message_dup(&worker->base);
 }
 
-static void worker_deregistered(struct runs *r, const char *worker_id)
+static void worker_deregistered(struct runs *r, const char *worker_id,
+				guint64 started_ms)
 {
-	if (!r->worker || strcmp(r->worker->worker_id, worker_id))
+	if (!r->worker || strcmp(r->worker->worker_id, worker_id) ||
+	    (started_ms && started_ms != r->worker->born_ms))
 		return;
 	g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "MESSAGE",
 			 "worker %s deregistered", worker_id);
-	/* Marks it as deregistered until a new incarnation is known. */
+	/* Marks it as deregistered until a new incarnation is known, or until
+	 * it reports again: the call may be a late one of an earlier
+	 * incarnation. */
 	r->worker->gone = TRUE;
+	r->incarnation_verified = FALSE;
 	r->report_due = TRUE;
 }
 
@@ -373,7 +380,7 @@
 		apply_worker_info(r, ev->worker);
 		break;
 	case RUNS_EVENT_WORKER_DEREGISTERED:
-		worker_deregistered(r, ev->worker_id);
+		worker_deregistered(r, ev->worker_id, ev->worker_started_ms);
 		break;
 	case RUNS_EVENT_LEADER_CONNECTED:
 		leader_connected(r, ev->fencing_token);
--- a/runs/runs.h
+++ b/runs/runs.h
@@ -83,7 +83,8 @@
 	RUNS_EVENT_TICK,
 	/** The worker sent its description (a heartbeat). */
 	RUNS_EVENT_WORKER_INFO,
-	/** The worker that worker_id names has deregistered. */
+	/** The worker that worker_id and worker_started_ms name says that it
+	 * ends; it may still run for some seconds. */
 	RUNS_EVENT_WORKER_DEREGISTERED,
 	/** A leader connected and sent its fencing token. */
 	RUNS_EVENT_LEADER_CONNECTED,
@@ -98,6 +99,8 @@
 	gint64 now_ms;
 	const struct Rp__WorkerInfo *worker;
 	const char *worker_id;
+	/** 0 if not reported. */
+	guint64 worker_started_ms;
 	guint64 fencing_token;
 	const struct Rp__VmOrders *orders;
 	const struct runs_answer *answer;
--- a/runs/runs_test.c
+++ b/runs/runs_test.c
@@ -281,6 +281,40 @@
 }
 END_TEST
 
+/*
+ * Guards against a worker that is given up although it runs:
+ * a late deregistration of its previous incarnation names the same id.
+ */
+START_TEST(test_late_deregistration_spares_the_next_incarnation)
+{
+	struct agent a;
+	struct runs_event gone = { .kind = RUNS_EVENT_WORKER_DEREGISTERED,
+				   .worker_id = "w1" };
+
+	setup(&a);
+	clear_effects(&a);
+	send_worker_info(&a, 200, FALSE);
+	answer_call(&a, call(&a, RUNS_CALL_RENEW_LEASE)->id, RUNS_OK, NULL,
+		    200);
+	gone.worker_started_ms = 100;
+	reduce(&a, &gone);
+	tick(&a, 1000);
+	ck_assert(!runs_worker_info(a.runs)->gone);
+	/* Also sent by incarnation 100, but it does not say so. */
+	gone.worker_started_ms = 0;
+	reduce(&a, &gone);
+	ck_assert(runs_worker_info(a.runs)->gone);
+	tick(&a, 1000);
+	clear_effects(&a);
+	/* Incarnation 200 goes on. */
+	send_worker_info(&a, 200, FALSE);
+	answer_call(&a, a.renewal, RUNS_OK, NULL, 200);
+	tick(&a, 1000);
+	ck_assert_ptr_nonnull(call(&a, RUNS_CALL_RENEW_LEASE));
+	teardown(&a);
+}
+END_TEST
+
 /* Guards against a start on a draining worker. The run is stopped instead,
  * since an earlier agent process may have sent the start. */
 START_TEST(test_draining_worker_starts_nothing)
@@ -521,6 +555,8 @@
 	tcase_add_test(tcase,
 		       test_unverified_incarnation_gets_no_lease_or_start);
 	tcase_add_test(tcase, test_failed_renewals_are_repeated_often);
+	tcase_add_test(tcase,
+		       test_late_deregistration_spares_the_next_incarnation);
 	tcase_add_test(tcase, test_draining_worker_starts_nothing);
 	tcase_add_test(tcase, test_lower_fencing_token_is_refused);
 	tcase_add_test(tcase, test_orders_for_another_incarnation_are_dropped);
