runs: take a deregistered worker's end from a refused connection

Change: the agent takes a deregistered worker as draining, and goes on renewing its lease. The worker counts as ended when no connection to its address, on the same VM, can be made; then its runs are lost at once, as before. If that is never seen, they are lost with the lease. Tried first: ECONNREFUSED after the failed call; evhttp has closed the socket by then and errno is another (ENOTCONN).

--- a/runs/hold.c
+++ b/runs/hold.c
@@ -126,6 +126,11 @@
 		return FALSE;
 	r->renewal_call = 0;
 	log_renewal(r, answer);
+	if (answer->outcome == RUNS_NO_PROCESS && r->deregistered) {
+		g_message("worker %s has ended", r->worker->worker_id);
+		r->worker->gone = TRUE;
+		r->report_due = TRUE;
+	}
 	if (answer->outcome != RUNS_OK) {
 		r->failed_renewals++;
 		r->incarnation_verified = FALSE;
--- a/runs/internal.h
+++ b/runs/internal.h
@@ -72,6 +72,8 @@
 	gint64 now_ms;
 	/** Current incarnation of the VM's worker; NULL if not known. */
 	struct Rp__WorkerInfo *worker;
+	/** The worker has deregistered and may still run. */
+	gboolean deregistered;
 	/** Of the leader whose orders are accepted; 0 before the first. */
 	guint64 fencing_token;
 	gboolean leader_connected;
--- a/runs/runs.c
+++ b/runs/runs.c
@@ -181,8 +181,8 @@
 	if (r->worker && !same && worker->born_ms < r->worker->born_ms)
 		return;
 	if (same &&
-	    (worker->sequence < r->worker->sequence ||
-	     (r->worker->gone && worker->sequence == r->worker->sequence)))
+	    (r->worker->gone || worker->sequence < r->worker->sequence ||
+	     (r->deregistered && worker->sequence == r->worker->sequence)))
 		return;
 	if (!same) {
 		g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "MESSAGE",
@@ -190,11 +190,12 @@
 				 worker->worker_id, worker->pool);
 		reset_incarnation(r);
 	}
-	if (!same || r->worker->gone || worker->draining != r->worker->draining)
+	if (!same || worker->draining != r->worker->draining)
 		r->report_due = TRUE;
 	if (r->worker)
 		rp__worker_info__free_unpacked(r->worker, NULL);
 	r->worker = wire_message_dup(&worker->base);
+	r->deregistered = FALSE;
 }
 
 static void worker_deregistered(struct runs *r, const char *worker_id,
@@ -205,11 +206,10 @@
 		return;
 	g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "MESSAGE",
 			 "worker %s deregistered", worker_id);
-	/* Marks it as deregistered until a new incarnation is known, or until
-	 * it reports again: the call may be a late one of an earlier
-	 * incarnation. */
-	r->worker->gone = TRUE;
-	r->incarnation_verified = FALSE;
+	/* Until its process has ended, or until it reports again: the call may
+	 * be a late one of an earlier incarnation. */
+	r->deregistered = TRUE;
+	r->worker->draining = TRUE;
 	r->report_due = TRUE;
 }
 
--- a/runs/runs.h
+++ b/runs/runs.h
@@ -55,6 +55,9 @@
 	RUNS_WRONG_WORKER,
 	/** Outcome unknown: the call may take effect, also later. */
 	RUNS_NO_ANSWER,
+	/** Of a lease renewal: nothing listens at the worker's address, so its
+	 * process has ended, or was not started yet. */
+	RUNS_NO_PROCESS,
 };
 
 struct runs_answer {
--- a/sched/vm.c
+++ b/sched/vm.c
@@ -3,8 +3,8 @@
 /*
  * State of each worker: its incarnation, its lease and its runs.
  *
- * A run is over if its end is listed, if its start was refused, or if the
- * worker's lease has certainly expired. When a worker
+ * A run is over if its end is listed, if its start was refused, if the worker
+ * has deregistered, or if its lease has certainly expired. When a worker
  * restarts, its earlier runs have ended, but their start orders may still reach
  * the new incarnation. Until that is ruled out they are kept, marked as
  * orphaned. Orders of runs that are given up otherwise may still wait in the
@@ -143,7 +143,7 @@
 	}
 }
 
-static void lose_runs(struct sch *s, struct sch_vm *vm)
+static void lose_runs(struct sch *s, struct sch_vm *vm, const char *why)
 {
 	guint i = 0;
 	guint lost = 0;
@@ -168,9 +168,8 @@
 		return;
 	s->stats.lost_runs += lost;
 	g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_WARNING, "VM", vm->name,
-			 "MESSAGE",
-			 "%u runs of worker %s are lost: its lease has expired",
-			 lost, vm->worker_id);
+			 "MESSAGE", "%u runs of worker %s are lost: %s", lost,
+			 vm->worker_id, why);
 }
 
 /*
@@ -371,8 +370,7 @@
 	if (!same)
 		sch_vm_set_incarnation(s, vm, info->worker_id, info->born_ms);
 	if (info->gone) {
-		/* It may still run for some seconds, so its runs are kept until
-		 * its lease has expired. */
+		lose_runs(s, vm, "the worker has deregistered");
 		vm->info_received = FALSE;
 		return FALSE;
 	}
@@ -630,7 +628,7 @@
 		struct sch_vm *vm = value;
 
 		if (vm->runs->len && lease_has_expired(s, vm))
-			lose_runs(s, vm);
+			lose_runs(s, vm, "its lease has expired");
 	}
 }
 
--- a/wire/rp.pb-c.h
+++ b/wire/rp.pb-c.h
@@ -1184,7 +1184,7 @@
    */
   int64_t remaining_ms;
   /*
-   * The worker has deregistered: it ends, at the latest within seconds. 
+   * The worker has deregistered and its process has ended. 
    */
   protobuf_c_boolean gone;
   char *rack;
