runs: let every third repeat of a lease renewal take longer

Cause: since renewals are repeated without a wait, each repeat was given up after 350 ms, so a worker that needs longer lost its lease for good after a single lost answer. Change: every third repeat may take 600 ms, as long as any renewal may take beyond its wait. test_slow_worker_keeps_its_lease_after_a_lost_answer fails without the change; test_failed_renewals_are_repeated_often passes with it.

--- a/runs/hold.c
+++ b/runs/hold.c
@@ -17,6 +17,9 @@
  * so that many attempts fit into the rest of the lease. */
 #define RENEWAL_REPEAT_TIMEOUT_MS 350
 
+/** Each so many repeats, one may take RENEWAL_MARGIN_MS, for slow workers. */
+#define LONG_REPEAT_INTERVAL 3
+
 /** Delay after a renewal that was answered at once without a new end. */
 #define RENEWAL_PAUSE_MS 100
 
@@ -25,13 +28,15 @@
 
 void runs_renewal_send(struct runs *r)
 {
-	gint64 timeout_ms = r->failed_renewals
-				    ? RENEWAL_REPEAT_TIMEOUT_MS
-				    : RENEWAL_WAIT_MS + RENEWAL_MARGIN_MS;
+	gint64 timeout_ms = RENEWAL_WAIT_MS + RENEWAL_MARGIN_MS;
 	struct runs_call *call;
 
 	if (r->renewal_call || r->now_ms < r->next_renewal_ms)
 		return;
+	if (r->failed_renewals)
+		timeout_ms = r->failed_renewals % LONG_REPEAT_INTERVAL
+				     ? RENEWAL_REPEAT_TIMEOUT_MS
+				     : RENEWAL_MARGIN_MS;
 	call = runs_call_new(r, RUNS_CALL_RENEW_LEASE, timeout_ms);
 	call->acked_through = r->acked_through;
 	/*
--- a/runs/runs_test.c
+++ b/runs/runs_test.c
@@ -281,6 +281,42 @@
 }
 END_TEST
 
+/* Guards against a worker that answers all calls after
+ * 400 ms and loses its lease after a single lost answer. */
+START_TEST(test_slow_worker_keeps_its_lease_after_a_lost_answer)
+{
+	struct agent a;
+	guint answered = 0;
+	gint64 end_ms;
+
+	setup(&a);
+	clear_effects(&a);
+	answer_call(&a, a.renewal, RUNS_NO_ANSWER, NULL, 0);
+	end_ms = a.now_ms + 7000;
+	while (a.now_ms < end_ms) {
+		gint64 answer_ms;
+		struct runs_call *c;
+
+		clear_effects(&a);
+		tick(&a, 100);
+		c = call(&a, RUNS_CALL_RENEW_LEASE);
+		if (!c)
+			continue;
+		answer_ms = c->wait_ms + 400;
+		if (answer_ms < c->timeout_ms) {
+			a.now_ms += answer_ms;
+			answered++;
+			answer_call(&a, c->id, RUNS_OK, NULL, 100);
+		} else {
+			a.now_ms += c->timeout_ms;
+			answer_call(&a, c->id, RUNS_NO_ANSWER, NULL, 0);
+		}
+	}
+	ck_assert_uint_ge(answered, 1);
+	teardown(&a);
+}
+END_TEST
+
 static void deregister(struct agent *a, guint64 worker_started_ms)
 {
 	struct runs_event ev = { .kind = RUNS_EVENT_WORKER_DEREGISTERED,
@@ -581,6 +617,8 @@
 	tcase_add_test(tcase,
 		       test_unverified_incarnation_gets_no_lease_or_start);
 	tcase_add_test(tcase, test_failed_renewals_are_repeated_often);
+	tcase_add_test(tcase,
+		       test_slow_worker_keeps_its_lease_after_a_lost_answer);
 	tcase_add_test(tcase, test_deregistered_worker_may_still_run);
 	tcase_add_test(tcase,
 		       test_late_deregistration_spares_the_next_incarnation);
