sched, runs: keep the leader's account of leases complete

What callers would see: TWICE, if a lease is in force that the leader does not know of. Causes: an agent reports the last lease that it sent, but kept one that the previous leader had granted and that was not sent yet, and sent that later. And a leader that had an agent's account of all leases relied on it also after that process ended, although the next one, which knows no fencing token, accepts an earlier leader. Change: a session starts with the lease that was sent; the account holds until the connection ends, unless run lists came under this leader's token. test_account_of_leases_includes_the_unsent_one and test_account_of_leases_ends_with_the_connection fail without the change.

--- a/runs/runs.c
+++ b/runs/runs.c
@@ -255,6 +255,8 @@
 	r->leader_connected = TRUE;
 	r->pairs_due = TRUE;
 	r->fencing_token = fencing_token;
+	/* Reports tell the leader only of leases that were sent. */
+	r->lease_until_ms = r->lease_sent_ms;
 	r->last_end_queued = 0;
 	r->lists_valid = FALSE;
 	r->lists_reported_ms = 0;
--- a/runs/runs_test.c
+++ b/runs/runs_test.c
@@ -377,6 +377,70 @@
 }
 END_TEST
 
+static void grant_lease(struct agent *a, guint64 fencing_token,
+			gint64 lease_until_ms)
+{
+	struct Rp__VmOrders body;
+	struct runs_event ev = { .kind = RUNS_EVENT_ORDERS, .orders = &body };
+
+	rp__vm_orders__init(&body);
+	body.fence = fencing_token;
+	body.worker_id = (char *)"w1";
+	body.worker_born_ms = 100;
+	body.lease_until_ms = lease_until_ms;
+	reduce(a, &ev);
+}
+
+/* The lease in the last report, or -1. */
+static gint64 reported_lease(struct agent *a)
+{
+	guint i;
+
+	for (i = a->effects->len; i-- > 0;) {
+		struct runs_effect *e = &g_array_index(a->effects,
+						       struct runs_effect, i);
+
+		if (e->kind == RUNS_EFFECT_REPORT)
+			return e->frame->vm_report->lease_until_ms;
+	}
+	return -1;
+}
+
+/* Guards against a lease of the previous leader that the
+ * agent sends after it told the new leader of shorter ones only. */
+START_TEST(test_account_of_leases_includes_the_unsent_one)
+{
+	struct agent a;
+	struct runs_call *c;
+	gint64 reported;
+
+	setup(&a);
+	clear_effects(&a);
+	grant_lease(&a, 5, 8000);
+	answer_call(&a, a.renewal, RUNS_OK, NULL, 100);
+	tick(&a, 200);
+	c = call(&a, RUNS_CALL_RENEW_LEASE);
+	ck_assert_ptr_nonnull(c);
+	ck_assert_int_eq(c->lease_until_ms, 8000);
+	clear_effects(&a);
+	/* Granted while that renewal, which is lost, is in flight. */
+	grant_lease(&a, 5, 12000);
+	answer_call(&a, a.renewal, RUNS_NO_ANSWER, NULL, 0);
+	clear_effects(&a);
+	connect_leader(&a, 6);
+	reported = reported_lease(&a);
+	ck_assert_int_ge(reported, 8000);
+	answer_call(&a, call(&a, RUNS_CALL_RENEW_LEASE)->id, RUNS_OK, NULL,
+		    100);
+	tick(&a, 200);
+	/* The leader has granted nothing yet. */
+	c = call(&a, RUNS_CALL_RENEW_LEASE);
+	ck_assert_ptr_nonnull(c);
+	ck_assert_int_le(c->lease_until_ms, reported);
+	teardown(&a);
+}
+END_TEST
+
 /* Guards against a start on a draining worker. The run is stopped instead,
  * since an earlier agent process may have sent the start. */
 START_TEST(test_draining_worker_starts_nothing)
@@ -622,6 +686,7 @@
 	tcase_add_test(tcase, test_deregistered_worker_may_still_run);
 	tcase_add_test(tcase,
 		       test_late_deregistration_spares_the_next_incarnation);
+	tcase_add_test(tcase, test_account_of_leases_includes_the_unsent_one);
 	tcase_add_test(tcase, test_draining_worker_starts_nothing);
 	tcase_add_test(tcase, test_lower_fencing_token_is_refused);
 	tcase_add_test(tcase, test_orders_for_another_incarnation_are_dropped);
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -93,11 +93,15 @@
 	gboolean info_received;
 	/** Run lists of this incarnation came in the current session. */
 	gboolean synced;
+	/** Run lists of this incarnation came in a session of this leader, so
+	 * the worker refuses leases of earlier leaders. */
+	gboolean adopted;
 	/**
-	 * Run lists or the lease came under this leader's fencing token, so no
-	 * earlier leader can extend the lease any more.
+	 * The agent reported the last lease that any leader granted. It holds
+	 * until the connection ends: a new agent process may accept an earlier
+	 * leader.
 	 */
-	gboolean adopted;
+	gboolean lease_reported;
 	char *pool;
 	char *rack;
 	GPtrArray *labels;
--- a/sched/sched_test.c
+++ b/sched/sched_test.c
@@ -622,6 +622,81 @@
 }
 END_TEST
 
+/* What an agent reports besides run lists. */
+struct state_report {
+	guint64 worker_started_ms;
+	gint64 clock_ms;
+	guint32 clock_age_ms;
+	gint64 lease_until_ms;
+	guint32 silent_ms;
+	guint32 agent_up_ms;
+	gboolean gone;
+};
+
+static void report_state(struct leader *l, const struct state_report *state)
+{
+	struct Rp__VmReport body;
+	struct Rp__WorkerInfo info;
+	struct Rp__Resources capacity;
+	struct sch_event ev = { .kind = SCH_EVENT_REPORT,
+				.vm = "vm1",
+				.report = &body };
+
+	rp__vm_report__init(&body);
+	rp__worker_info__init(&info);
+	rp__resources__init(&capacity);
+	capacity.cpu_milli = CPU_MILLI;
+	capacity.memory_bytes = 1 << 30;
+	info.worker_id = (char *)"vm1";
+	info.born_ms = state->worker_started_ms;
+	info.pool = (char *)"p";
+	info.capacity = &capacity;
+	info.gone = state->gone;
+	body.fence = sch_vm_get(l->s, "vm1")->fencing_token;
+	body.worker = &info;
+	body.clock_ms = state->clock_ms;
+	body.clock_age_ms = state->clock_age_ms;
+	body.lease_until_ms = state->lease_until_ms;
+	body.silent_ms = state->silent_ms;
+	body.agent_up_ms = state->agent_up_ms;
+	reduce(l, &ev);
+}
+
+/*
+ * Guards against a lease of an earlier leader that is
+ * extended after the agent's account of it: an agent process that replaces the
+ * one which gave the account knows no fencing token.
+ */
+START_TEST(test_account_of_leases_ends_with_the_connection)
+{
+	struct state_report state = {
+		.worker_started_ms = 50,
+		.clock_ms = 40000,
+		.lease_until_ms = 46000,
+		.agent_up_ms = 60000,
+	};
+	struct leader l;
+	struct leader next;
+
+	setup(&l);
+	add_vm(&l, "vm1");
+	submit_one_task(&l);
+	setup_next(&next, &l);
+	set_connected(&next, TRUE);
+	report_state(&next, &state);
+	/* The agent process ends; the next one accepts the earlier leader,
+	 * which may grant leases until 6 s after the election. */
+	set_connected(&next, FALSE);
+	tick(&next, 8000);
+	ck_assert_uint_eq(task(&next, "a.0.0.0")->n_runs, 1);
+	/* 6,000 + 7,000 / 0.98 + 300 ms after the election. */
+	tick(&next, 5600);
+	ck_assert_uint_eq(task(&next, "a.0.0.0")->n_runs, 0);
+	teardown(&l);
+	teardown(&next);
+}
+END_TEST
+
 /* Guards against a crash on damaged or empty records: they are refused. */
 START_TEST(test_damaged_records)
 {
@@ -659,6 +734,7 @@
 	tcase_add_test(tcase, test_no_start_under_expired_lease);
 	tcase_add_test(tcase, test_new_leader_repeats_targets_of_running_tasks);
 	tcase_add_test(tcase, test_agent_reports_lease_of_unresponsive_worker);
+	tcase_add_test(tcase, test_account_of_leases_ends_with_the_connection);
 	tcase_add_test(tcase, test_damaged_records);
 	suite_add_tcase(suite, tcase);
 	return fixture_run(suite);
--- a/sched/vm.c
+++ b/sched/vm.c
@@ -210,6 +210,7 @@
 	vm->info_received = FALSE;
 	vm->synced = FALSE;
 	vm->adopted = FALSE;
+	vm->lease_reported = FALSE;
 	vm->draining = FALSE;
 	vm->drain_end_ms = 0;
 	vm->clock_ms = 0;
@@ -238,6 +239,7 @@
 
 	vm->connected = FALSE;
 	vm->synced = FALSE;
+	vm->lease_reported = FALSE;
 }
 
 void sch_vm_changed(struct sch *s, struct sch_vm *vm)
@@ -271,8 +273,8 @@
 				 SCH_MAX_ORDER_DELAY_MS +
 				 (gint64)(SCH_MAX_LEASE_MS / CLOCK_RATE_MIN))
 		return FALSE;
-	/* Before vm->adopted, earlier leaders may have extended the lease. */
-	if ((!vm->adopted || !vm->lease_until_ms) &&
+	/* Earlier leaders may have extended the lease. */
+	if (((!vm->adopted && !vm->lease_reported) || !vm->lease_until_ms) &&
 	    s->now_ms <= earlier_leaders_until_ms)
 		return FALSE;
 	if (!vm->lease_until_ms)
@@ -581,11 +583,12 @@
 	 * also those that earlier leaders granted to a worker that is now
 	 * unresponsive.
 	 */
-	if (vm->adopted || !report->clock_ms || !report->lease_until_ms ||
+	if (vm->adopted || vm->lease_reported || !report->clock_ms ||
+	    !report->lease_until_ms ||
 	    report->agent_up_ms <
 		    SCH_MAX_ORDER_DELAY_MS + SCH_MAX_LEASE_MS / CLOCK_RATE_MIN)
 		return;
-	vm->adopted = TRUE;
+	vm->lease_reported = TRUE;
 	vm->lease_until_ms = MAX(vm->lease_until_ms, report->lease_until_ms);
 }
 
