sched: count the longest possible lease of a new incarnation

Cause: a call to an earlier incarnation of a worker that is carried out on the next one under the same id, whose clock starts anew, may give it a lease of up to 10 s just before its first run lists. The leader counted 7 s from these lists, and 11.7 s only from the first heartbeat. Change: with the first lists of an incarnation in this leader's term the leader counts the longest lease that a worker accepts. test_first_lease_of_incarnation_may_be_the_longest fails without the change. test_each_incarnation_has_its_own_token guards the session that each incarnation starts; it fails if that is taken out.

--- a/sched/sched_test.c
+++ b/sched/sched_test.c
@@ -697,6 +697,73 @@
 }
 END_TEST
 
+/* Reports for longer than a lease of an earlier incarnation may last. */
+static void settle(struct leader *l)
+{
+	guint i;
+
+	for (i = 0; i < 20; i++) {
+		tick(l, 1000);
+		confirm_leadership(l);
+		report(l, "vm1", 50, NULL, 0);
+	}
+}
+
+/*
+ * Guards against a lease of up to 10 s that a call to the
+ * earlier incarnation gave to the new one just before its first run lists.
+ */
+START_TEST(test_first_lease_of_incarnation_may_be_the_longest)
+{
+	static const struct row running[] = {
+		{ "a.0.0.0", 1, RP__RUN_END_KIND__RUN_END_NONE, 0, 10, 0 },
+	};
+	struct leader l;
+	gint64 synced_ms;
+
+	setup(&l);
+	add_vm(&l, "vm1");
+	settle(&l);
+	/* The new incarnation is known by its heartbeats, and answers its
+	 * first renewal 8 s later. */
+	report(&l, "vm1", 60, NULL, 0);
+	commit(&l);
+	tick(&l, 8000);
+	confirm_leadership(&l);
+	report(&l, "vm1", 60, NULL, 0);
+	synced_ms = l.now_ms;
+	submit_one_task(&l);
+	report(&l, "vm1", 60, running, 1);
+	ck_assert_uint_eq(task(&l, "a.0.0.0")->n_runs, 1);
+	/* No further grant, and silence. */
+	l.now_ms = synced_ms + 9000;
+	tick(&l, 0);
+	ck_assert_uint_eq(task(&l, "a.0.0.0")->n_runs, 1);
+	teardown(&l);
+}
+END_TEST
+
+/* Guards against a call to an earlier incarnation that takes effect on the next
+ * one after its run was given up. */
+START_TEST(test_each_incarnation_has_its_own_token)
+{
+	struct leader l;
+	guint64 first;
+
+	setup(&l);
+	add_vm(&l, "vm1");
+	submit_one_task(&l);
+	first = last_orders(&l)->fence;
+	/* The lists of this report were read under the earlier token. */
+	report(&l, "vm1", 60, NULL, 0);
+	clear_effects(&l);
+	commit(&l);
+	ck_assert_uint_gt(sch_vm_get(l.s, "vm1")->fencing_token, first);
+	ck_assert_uint_eq(count_orders(&l, FALSE), 0);
+	teardown(&l);
+}
+END_TEST
+
 /* Guards against a crash on damaged or empty records: they are refused. */
 START_TEST(test_damaged_records)
 {
@@ -735,6 +802,9 @@
 	tcase_add_test(tcase, test_new_leader_repeats_targets_of_running_tasks);
 	tcase_add_test(tcase, test_agent_reports_lease_of_unresponsive_worker);
 	tcase_add_test(tcase, test_account_of_leases_ends_with_the_connection);
+	tcase_add_test(tcase,
+		       test_first_lease_of_incarnation_may_be_the_longest);
+	tcase_add_test(tcase, test_each_incarnation_has_its_own_token);
 	tcase_add_test(tcase, test_damaged_records);
 	suite_add_tcase(suite, tcase);
 	return fixture_run(suite);
--- a/sched/vm.c
+++ b/sched/vm.c
@@ -448,13 +448,16 @@
 			g_ptr_array_add(vm->starts, run);
 		}
 	}
+	/* Earlier leaders granted leases from earlier clock readings. A call to
+	 * an earlier incarnation, with another clock, may have given this one
+	 * the longest lease that it accepts. */
+	if (vm->clock_ms)
+		vm->lease_until_ms =
+			MAX(vm->lease_until_ms,
+			    vm->clock_ms + (vm->adopted ? s->options.lease_ms
+							: SCH_MAX_LEASE_MS));
 	vm->synced = TRUE;
 	vm->adopted = TRUE;
-	/* Earlier leaders granted leases from earlier clock readings, so none
-	 * ends later than this. */
-	if (vm->clock_ms)
-		vm->lease_until_ms = MAX(vm->lease_until_ms,
-					 vm->clock_ms + s->options.lease_ms);
 	s->place_due = TRUE;
 }
 
