runs: do not take a truncated list of ends as complete

Cause: a worker lists at most 500 ends at a time. A run whose end is the 501st is listed neither as running nor as ended, so a stopped start was reported as not started, and the leader ordered the task again. Change: from lists with 500 ends only the ends are taken. The leader acknowledges them, and complete lists follow. test_truncated_list_of_ends_proves_nothing fails without the change.

--- a/runs/hold.c
+++ b/runs/hold.c
@@ -23,6 +23,10 @@
 /** Delay after a renewal that was answered at once without a new end. */
 #define RENEWAL_PAUSE_MS 100
 
+/** Maximum number of ends in the lists; if there are as many, the lists may be
+ * incomplete. */
+#define MAX_LISTED_ENDS 500
+
 /** Delay after a failed renewal. */
 #define RENEWAL_RETRY_MS 100
 
@@ -114,9 +118,15 @@
 	gboolean quick = r->now_ms < r->renewal_sent_ms + RENEWAL_PAUSE_MS;
 	gboolean new_ends;
 
+	new_ends = queue_new_ends(r, answer);
+	if (answer->n_ended >= MAX_LISTED_ENDS) {
+		/* The rest follows as the leader acknowledges these. */
+		r->report_due = r->report_due || new_ends;
+		r->next_renewal_ms = r->now_ms + RENEWAL_PAUSE_MS;
+		return;
+	}
 	runs_orders_check_lists(r, answer, answer->call_id);
 	replace_running(r, answer);
-	new_ends = queue_new_ends(r, answer);
 	if (new_ends || !r->lists_valid)
 		r->report_due = TRUE;
 	r->lists_valid = TRUE;
--- a/runs/runs_test.c
+++ b/runs/runs_test.c
@@ -441,6 +441,61 @@
 }
 END_TEST
 
+/* Guards against a run that is reported as not started
+ * although it has ended: a worker lists at most 500 ends at a time. */
+START_TEST(test_truncated_list_of_ends_proves_nothing)
+{
+	static struct Rp__RunEnd ends[500];
+	static struct Rp__RunName names[500];
+	static struct Rp__RunEnd *list[500];
+	struct agent a;
+	struct runs_call *c;
+	guint i;
+
+	for (i = 0; i < 500; i++) {
+		rp__run_end__init(&ends[i]);
+		rp__run_name__init(&names[i]);
+		names[i].task = (char *)"other.0.0.0";
+		names[i].attempt = i + 1;
+		ends[i].run = &names[i];
+		ends[i].number = i + 1;
+		ends[i].kind = RP__RUN_END_KIND__RUN_END_DONE;
+		list[i] = &ends[i];
+	}
+	setup(&a);
+	send_order(&a, 5, 100, FALSE);
+	for (i = 0; i < 3; i++) {
+		c = call(&a, RUNS_CALL_START);
+		ck_assert_ptr_nonnull(c);
+		answer_call(&a, c->id, RUNS_NO_ANSWER, NULL, 0);
+	}
+	c = call(&a, RUNS_CALL_STOP);
+	ck_assert_ptr_nonnull(c);
+	answer_call(&a, c->id, RUNS_OK, NULL, 0);
+	tick(&a, 600);
+	for (i = 0; i < 4; i++) {
+		struct runs_answer answer = {
+			.outcome = RUNS_OK,
+			.clock_ms = 5000,
+			.worker_started_ms = 100,
+			.ended = list,
+			.n_ended = 500,
+		};
+		struct runs_event ev = { .kind = RUNS_EVENT_ANSWER,
+					 .answer = &answer };
+
+		clear_effects(&a);
+		answer.call_id = a.renewal;
+		reduce(&a, &ev);
+		/* Its end may be the 501st. */
+		ck_assert_ptr_null(reported_start(&a));
+		tick(&a, 200);
+		ck_assert_ptr_null(reported_start(&a));
+	}
+	teardown(&a);
+}
+END_TEST
+
 /* Guards against a start on a draining worker. The run is stopped instead,
  * since an earlier agent process may have sent the start. */
 START_TEST(test_draining_worker_starts_nothing)
@@ -687,6 +742,7 @@
 	tcase_add_test(tcase,
 		       test_late_deregistration_spares_the_next_incarnation);
 	tcase_add_test(tcase, test_account_of_leases_includes_the_unsent_one);
+	tcase_add_test(tcase, test_truncated_list_of_ends_proves_nothing);
 	tcase_add_test(tcase, test_draining_worker_starts_nothing);
 	tcase_add_test(tcase, test_lower_fencing_token_is_refused);
 	tcase_add_test(tcase, test_orders_for_another_incarnation_are_dropped);
