sched: write one transaction for a session that waits for a revision

Cause: while the transaction was in flight, each event asked for another one. Change: whether a revision is due is computed anew with each event. test_session_needs_one_transaction fails without the change (2 instead of 1).

--- a/sched/commit.c
+++ b/sched/commit.c
@@ -109,7 +109,6 @@
 		add_job(job, txn);
 		g_ptr_array_add(s->commit, job);
 	}
-	s->revision_due = FALSE;
 	s->commit_sent_ms = s->now_ms;
 	s->stats.commits++;
 	effect = sch_effect_add(s, SCH_EFFECT_COMMIT);
--- a/sched/sched_test.c
+++ b/sched/sched_test.c
@@ -764,6 +764,31 @@
 }
 END_TEST
 
+/* Guards against a second transaction for one session. */
+START_TEST(test_session_needs_one_transaction)
+{
+	struct sch_event ev = { .kind = SCH_EVENT_COMMITTED };
+	struct leader l;
+	guint64 commits;
+
+	setup(&l);
+	add_vm(&l, "vm1");
+	set_connected(&l, FALSE);
+	commits = l.s->stats.commits;
+	set_connected(&l, TRUE);
+	tick(&l, 200);
+	ck_assert_uint_eq(l.s->stats.commits, commits + 1);
+	/* The answer takes longer than a tick. */
+	tick(&l, 20);
+	ev.revision = ++l.revision;
+	reduce(&l, &ev);
+	ck_assert(!sch_vm_get(l.s, "vm1")->session_due);
+	tick(&l, 200);
+	ck_assert_uint_eq(l.s->stats.commits, commits + 1);
+	teardown(&l);
+}
+END_TEST
+
 /* Guards against a crash on damaged or empty records: they are refused. */
 START_TEST(test_damaged_records)
 {
@@ -805,6 +830,7 @@
 	tcase_add_test(tcase,
 		       test_first_lease_of_incarnation_may_be_the_longest);
 	tcase_add_test(tcase, test_each_incarnation_has_its_own_token);
+	tcase_add_test(tcase, test_session_needs_one_transaction);
 	tcase_add_test(tcase, test_damaged_records);
 	suite_add_tcase(suite, tcase);
 	return fixture_run(suite);
--- a/sched/vm.c
+++ b/sched/vm.c
@@ -123,6 +123,7 @@
 	GHashTableIter iter;
 	gpointer value;
 
+	s->revision_due = FALSE;
 	g_hash_table_iter_init(&iter, s->vms);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct sch_vm *vm = value;
