--- a/runs/runs.h
+++ b/runs/runs.h
@@ -65,8 +65,8 @@
 	enum runs_outcome outcome;
 	/**
 	 * Of RUNS_REFUSED, as the worker names it: "fence" (fencing token too
-	 * low), "old" (the worker runs another attempt of the task, or has
-	 * ended this or a later one), "late" (the lease in the call has
+	 * low), "old" (the worker has ended or stopped this attempt of the task
+	 * or a later one), "late" (the lease in the call has
 	 * already expired), "room" (no free capacity) or "ticket" (no valid
 	 * admission ticket for this worker).
 	 */
