cell, sched: count an election as confirmed from its request

Cause: a leader took the moment at which it handled the answer as the confirmation of its election. A process that was paused between would extend leases, and answer calls, for up to as long too late, while another leader may have been elected. Change: the time at which the confirming call was sent is passed on. test_election_is_confirmed_from_its_request does not compile without the change; with confirmed_ms ignored in sch_new(), as before, it fails.

--- a/bench/steps.c
+++ b/bench/steps.c
@@ -541,6 +541,7 @@
 {
 	struct sch_options sch_options = {
 		.fencing_token = FENCING_TOKEN,
+		.confirmed_ms = START_MS,
 		.lease_ms = LEASE_MS,
 		.leadership_valid_ms = LEADERSHIP_VALID_MS,
 		.max_ops = MAX_TXN_OPS,
--- a/cell/entry.c
+++ b/cell/entry.c
@@ -173,7 +173,7 @@
 	cell_leader_conn_accept(&entry->leader_conn, fd);
 }
 
-static void on_elected(void *ctx, guint64 fencing_token)
+static void on_elected(void *ctx, guint64 fencing_token, gint64 sent_ms)
 {
 	struct cell_entry *entry = ctx;
 	struct cell_lead_options options = {
@@ -183,6 +183,7 @@
 		.name = entry->name,
 		.listen = entry->listen,
 		.fencing_token = fencing_token,
+		.confirmed_ms = sent_ms,
 		.max_txn_ops = entry->options.max_txn_ops,
 	};
 
--- a/cell/internal.h
+++ b/cell/internal.h
@@ -131,9 +131,9 @@
 struct cell_store;
 
 struct cell_store_handler {
-	/** This process was elected; a call of on_record for each stored
-	 * record follows. */
-	void (*on_elected)(void *ctx, guint64 fencing_token);
+	/** This process was elected, which a call sent at sent_ms confirmed; a
+	 * call of on_record for each stored record follows. */
+	void (*on_elected)(void *ctx, guint64 fencing_token, gint64 sent_ms);
 	/** All records have been passed to on_record. */
 	void (*on_records_loaded)(void *ctx, guint64 fencing_token);
 	/** This process is no longer the leader. */
@@ -190,6 +190,8 @@
 	/** IP:PORT of this process for frames. */
 	const char *listen;
 	guint64 fencing_token;
+	/** When the call that confirmed the election was sent. */
+	gint64 confirmed_ms;
 	/** Maximum number of operations of a transaction, with comparisons. */
 	guint max_txn_ops;
 };
--- a/cell/lead.c
+++ b/cell/lead.c
@@ -294,6 +294,7 @@
 	struct cell_lead *lead = g_new0(struct cell_lead, 1);
 	struct sch_options sch_options = {
 		.fencing_token = options->fencing_token,
+		.confirmed_ms = options->confirmed_ms,
 		.lease_ms = WORKER_LEASE_MS,
 		.leadership_valid_ms = LEADERSHIP_VALID_MS,
 		.max_ops = options->max_txn_ops - CONDITION_OPS,
--- a/cell/store.c
+++ b/cell/store.c
@@ -117,6 +117,7 @@
 	struct cell_store *store;
 	/** Value of store->depositions when the call was sent. */
 	guint depositions;
+	gint64 sent_ms;
 	/** The watch that the call reads for, or NULL. */
 	struct store_watch *watch;
 };
@@ -127,6 +128,7 @@
 
 	ctx->store = store;
 	ctx->depositions = store->depositions;
+	ctx->sent_ms = store->now_ms;
 	g_hash_table_add(store->open_calls, ctx);
 	return ctx;
 }
@@ -224,14 +226,16 @@
 			      on_loaded, call_ctx_new(store));
 }
 
-static void become_leader(struct cell_store *store, gint64 fencing_token)
+static void become_leader(struct cell_store *store, gint64 fencing_token,
+			  gint64 sent_ms)
 {
 	store->fencing_token = fencing_token;
 	store->state = STORE_LOADING;
 	store->commit_revision = 0;
 	store->renew_ms = 0;
 	store->confirm_ms = store->now_ms + CONFIRM_MS;
-	store->handler.on_elected(store->handler.ctx, (guint64)fencing_token);
+	store->handler.on_elected(store->handler.ctx, (guint64)fencing_token,
+				  sent_ms);
 	load_records(store);
 }
 
@@ -302,7 +306,7 @@
 		return;
 	if (store->candidacy && !strcmp(text, store->candidacy) &&
 	    pair->lease == store->lease)
-		become_leader(store, pair->mod_revision);
+		become_leader(store, pair->mod_revision, ctx->sent_ms);
 	else if (is_of_this_vm(store, text) ||
 		 pair->mod_revision == store->ended_token)
 		remove_leader_key(store, pair->mod_revision);
@@ -328,7 +332,7 @@
 		return;
 	store->busy = FALSE;
 	if (result && result->succeeded) {
-		become_leader(store, result->revision);
+		become_leader(store, result->revision, ctx->sent_ms);
 		return;
 	}
 	/* If the outcome is unknown, the next read of the key shows it. */
--- a/sched/leader_test.h
+++ b/sched/leader_test.h
@@ -116,6 +116,7 @@
 	memset(l, 0, sizeof(*l));
 	l->now_ms = 100000;
 	l->revision = FENCING_TOKEN;
+	options.confirmed_ms = l->now_ms;
 	l->s = sch_new(&options, l->now_ms);
 	l->effects = g_array_new(FALSE, FALSE, sizeof(struct sch_effect));
 	reduce(l, &ev);
--- a/sched/model_test.c
+++ b/sched/model_test.c
@@ -341,6 +341,7 @@
 	l->end_ms = G_MAXINT64;
 	l->next_confirm_ms = 0;
 	options.fencing_token = l->fencing_token;
+	options.confirmed_ms = m->now_ms;
 	l->sch = sch_new(&options, m->now_ms);
 	load(m, l->sch);
 	ev.queues = queues_new();
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -67,7 +67,7 @@
 	s->options = *options;
 	s->now_ms = now_ms;
 	s->elected_ms = now_ms;
-	s->confirmed_ms = now_ms;
+	s->confirmed_ms = options->confirmed_ms;
 	s->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					free_job);
 	s->vms = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_vm);
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -60,6 +60,9 @@
 struct sch_options {
 	/** The revision at which this process was elected; see above. */
 	guint64 fencing_token;
+	/** When the request to the store that confirmed the election was sent.
+	 */
+	gint64 confirmed_ms;
 	/** A worker's lease ends this long after the last clock reading. */
 	gint64 lease_ms;
 	/** Leases are extended for this long after a confirmation. */
--- a/sched/sched_test.c
+++ b/sched/sched_test.c
@@ -789,6 +789,35 @@
 }
 END_TEST
 
+/* Guards against a leader that answers and grants leases too long, since its
+ * process did not run between its election and the answer of the store. */
+START_TEST(test_election_is_confirmed_from_its_request)
+{
+	struct sch_options options = {
+		.fencing_token = FENCING_TOKEN,
+		.confirmed_ms = 100000,
+		.lease_ms = 7000,
+		.leadership_valid_ms = 6000,
+		.max_ops = 29,
+		.retention_ms = 180000,
+	};
+	struct sch_event tables = { .kind = SCH_EVENT_TABLES,
+				    .queues = queues_new() };
+	struct leader l = { .now_ms = 110000 };
+
+	l.s = sch_new(&options, l.now_ms);
+	l.effects = g_array_new(FALSE, FALSE, sizeof(struct sch_effect));
+	reduce(&l, &tables);
+	submit_best_effort(&l, "/q/a");
+	ck_assert_uint_eq(l.status, 503);
+	confirm_leadership(&l);
+	submit_best_effort(&l, "/q/a");
+	commit(&l);
+	ck_assert_uint_eq(l.status, 200);
+	teardown(&l);
+}
+END_TEST
+
 /* Guards against a crash on damaged or empty records: they are refused. */
 START_TEST(test_damaged_records)
 {
@@ -831,6 +860,7 @@
 		       test_first_lease_of_incarnation_may_be_the_longest);
 	tcase_add_test(tcase, test_each_incarnation_has_its_own_token);
 	tcase_add_test(tcase, test_session_needs_one_transaction);
+	tcase_add_test(tcase, test_election_is_confirmed_from_its_request);
 	tcase_add_test(tcase, test_damaged_records);
 	suite_add_tcase(suite, tcase);
 	return fixture_run(suite);
