runs: verify the worker's incarnation again after a pause

What callers would see: TWICE. Cause: an agent that is paused while its worker restarts takes the incarnation as verified by an answer from before the pause. Orders that waited in its socket were sent to the new incarnation, which knows no fencing token yet and whose clock starts anew, so it ran starts whose runs the leader had given up. Change: the incarnation counts as verified for 1.5 s from when the renewal that showed it was sent. This is the bound that the leader assumes (SCH_MAX_ORDER_DELAY_MS). test_paused_agent_verifies_the_incarnation fails without the change.

--- a/runs/hold.c
+++ b/runs/hold.c
@@ -30,6 +30,16 @@
 /** Delay after a failed renewal. */
 #define RENEWAL_RETRY_MS 100
 
+/* The leader counts on it that orders reach an incarnation no later than this
+ * after the worker was seen, also if this process was paused. */
+#define VERIFIED_MAX_AGE_MS 1500
+
+gboolean runs_incarnation_is_verified(const struct runs *r)
+{
+	return r->incarnation_verified &&
+	       r->now_ms < r->verified_ms + VERIFIED_MAX_AGE_MS;
+}
+
 void runs_renewal_send(struct runs *r)
 {
 	gint64 timeout_ms = RENEWAL_WAIT_MS + RENEWAL_MARGIN_MS;
@@ -47,7 +57,7 @@
 	 * Another incarnation may answer, to which the lease and the
 	 * acknowledged ends of this one don't apply.
 	 */
-	if (!r->incarnation_verified) {
+	if (!runs_incarnation_is_verified(r)) {
 		call->lease_until_ms = 0;
 		call->acked_through = 0;
 	}
@@ -164,6 +174,7 @@
 		return TRUE;
 	}
 	r->incarnation_verified = TRUE;
+	r->verified_ms = r->renewal_sent_ms;
 	r->answered_ms = r->now_ms;
 	if (answer->clock_ms > r->clock_ms) {
 		r->clock_ms = answer->clock_ms;
--- a/runs/internal.h
+++ b/runs/internal.h
@@ -97,8 +97,10 @@
 	gint64 next_renewal_ms;
 	/** Failed lease renewals in a row. */
 	guint failed_renewals;
-	/** The last lease renewal was answered by the known incarnation. */
+	/** The last lease renewal was answered by the known incarnation, and
+	 * when it was sent; see runs_incarnation_is_verified(). */
 	gboolean incarnation_verified;
+	gint64 verified_ms;
 	/** Highest number of an end record that is queued for this leader or
 	 * was sent to it. */
 	guint64 last_end_queued;
@@ -161,6 +163,9 @@
 			     guint64 renewal_call);
 
 /* hold.c */
+/** TRUE if the worker was recently seen to be the known incarnation, so that
+ * starts and leases reach no other one. */
+gboolean runs_incarnation_is_verified(const struct runs *r);
 void runs_renewal_send(struct runs *r);
 /** Returns FALSE if the answer is not that of a lease renewal. */
 gboolean runs_renewal_handle_answer(struct runs *r,
--- a/runs/orders.c
+++ b/runs/orders.c
@@ -214,7 +214,7 @@
 		 * worker that does not answer may have been replaced.
 		 */
 		if (order->state == RUNS_ORDER_START &&
-		    (!r->lease_until_ms || !r->incarnation_verified))
+		    (!r->lease_until_ms || !runs_incarnation_is_verified(r)))
 			continue;
 		if (order->state == RUNS_ORDER_START && r->worker->draining) {
 			order->state = RUNS_ORDER_STOP;
--- a/runs/runs_test.c
+++ b/runs/runs_test.c
@@ -496,6 +496,28 @@
 }
 END_TEST
 
+/* Guards against a start on a new incarnation of the worker by an agent that
+ * was paused while the worker restarted. */
+START_TEST(test_paused_agent_verifies_the_incarnation)
+{
+	struct agent a;
+
+	setup(&a);
+	clear_effects(&a);
+	a.now_ms += 10000;
+	send_order(&a, 5, 100, FALSE);
+	ck_assert_ptr_null(call(&a, RUNS_CALL_START));
+	/* The renewal that was in flight was sent before the pause. */
+	answer_call(&a, a.renewal, RUNS_OK, NULL, 100);
+	ck_assert_ptr_null(call(&a, RUNS_CALL_START));
+	tick(&a, 200);
+	clear_effects(&a);
+	answer_call(&a, a.renewal, RUNS_OK, NULL, 100);
+	ck_assert_ptr_nonnull(call(&a, RUNS_CALL_START));
+	teardown(&a);
+}
+END_TEST
+
 /* Guards against a start on a draining worker. The run is stopped instead,
  * since an earlier agent process may have sent the start. */
 START_TEST(test_draining_worker_starts_nothing)
@@ -743,6 +765,7 @@
 		       test_late_deregistration_spares_the_next_incarnation);
 	tcase_add_test(tcase, test_account_of_leases_includes_the_unsent_one);
 	tcase_add_test(tcase, test_truncated_list_of_ends_proves_nothing);
+	tcase_add_test(tcase, test_paused_agent_verifies_the_incarnation);
 	tcase_add_test(tcase, test_draining_worker_starts_nothing);
 	tcase_add_test(tcase, test_lower_fencing_token_is_refused);
 	tcase_add_test(tcase, test_orders_for_another_incarnation_are_dropped);
