sched: adopt an agent's account of leases only when none is granted any more

What callers would see: TWICE. Cause: a new leader relied on an agent's account of the leases it had sent, since the agent refuses earlier leaders. Its process may end right then; the next one knows no fencing token and accepts an earlier leader, whose leases reach a worker that has not seen the new token. The new leader had given the runs up by then. Change: the account is used only in reports that were made when no earlier leader grants leases any more, 4 s after the election and 3 s for the report's way.

--- a/sched/vm.c
+++ b/sched/vm.c
@@ -22,6 +22,10 @@
 /** Maximum interval between orders to an agent, since they extend the lease. */
 #define ORDERS_INTERVAL_MS 900
 
+/** Age that a report can have when it arrives: a connection without data is
+ * closed sooner. */
+#define REPORT_MAX_DELAY_MS 3000
+
 /** End records are acknowledged in batches, this long after the last orders. */
 #define ACK_DELAY_MS 100
 
@@ -581,13 +585,16 @@
 		vm->clock_read_ms = s->now_ms - report->clock_age_ms;
 	}
 	/*
-	 * Leases reach the worker only through its agent, which now accepts
-	 * orders from this leader alone. An agent process that has run for
-	 * longer than any order and lease can last knows all leases in force,
-	 * also those that earlier leaders granted to a worker that is now
-	 * unresponsive.
+	 * Leases reach the worker only through its agent. Earlier leaders grant
+	 * none any more when the report was made, so that also an agent process
+	 * that accepts one of them after this one cannot extend the lease. An
+	 * agent process that has run for longer than any order and lease can
+	 * last knows all leases in force, also those that earlier leaders
+	 * granted to a worker that is now unresponsive.
 	 */
-	if (vm->adopted || vm->lease_reported || !report->clock_ms ||
+	if (s->now_ms < s->elected_ms + s->options.leadership_valid_ms +
+				REPORT_MAX_DELAY_MS ||
+	    vm->adopted || vm->lease_reported || !report->clock_ms ||
 	    !report->lease_until_ms ||
 	    report->agent_up_ms <
 		    SCH_MAX_ORDER_DELAY_MS + SCH_MAX_LEASE_MS / CLOCK_RATE_MIN)
@@ -708,6 +715,8 @@
 
 static void send_orders(struct sch *s, struct sch_vm *vm)
 {
+	gboolean may_grant = s->now_ms <
+			     s->confirmed_ms + s->options.leadership_valid_ms;
 	struct sch_effect *effect = sch_effect_add(s, SCH_EFFECT_ORDERS);
 	struct Rp__VmOrders *orders;
 
@@ -720,13 +729,13 @@
 	if (vm->info_received) {
 		wire_set_string(&orders->worker_id, vm->worker_id);
 		orders->worker_born_ms = vm->worker_started_ms;
-		if (vm->clock_ms &&
-		    s->now_ms <
-			    s->confirmed_ms + s->options.leadership_valid_ms)
+		if (vm->clock_ms && may_grant)
 			vm->lease_until_ms =
 				MAX(vm->lease_until_ms,
 				    vm->clock_ms + s->options.lease_ms);
-		orders->lease_until_ms = vm->lease_until_ms;
+		/* Without a recent confirmation, another leader may rely on no
+		 * lease being granted here any more. */
+		orders->lease_until_ms = may_grant ? vm->lease_until_ms : 0;
 		orders->ended_through = vm->acked_through;
 		/* Without run lists it is unknown which orders to repeat. */
 		if (vm->synced)
