sched: model both ends of connections, and check what the leader knows

The random model of leader, agents and workers hid faults in three ways: - A connection ended at both sides at once, with the frames on it. Now each side has its own state and idle timeout. What was sent before a close may still arrive, the other side may learn of it or not, and an agent that has restarted may accept an earlier leader. - No run outlasted a lease, so a lease that was wrongly taken as expired went unnoticed. The load "long" has such runs. - A run that the leader had given up counted only if its task ran twice. Now the elected leader must know each run that starts or goes on, and must take no lease to end earlier than it does.

Six leaders may be alive at a time instead of three. Leases are capped at 10 s, as workers do. RP_LOAD names a load, RP_TRACE prints the events of a run. The two tests there were are the loads "faults" and "unresponsive".

--- a/sched/model_test.c
+++ b/sched/model_test.c
@@ -1,4 +1,4 @@
-#include "model_test.h"
+#include "model_io_test.h"
 #include "tests/fixture.h"
 
 /*
@@ -8,255 +8,6 @@
  * starts a run, from what the worker and the callers have seen.
  */
 
-static void agent_reduce(struct model *m, int vm, struct runs_event *ev);
-
-static void answer_call(struct model *m, struct model_call *c,
-			struct runs_answer *answer)
-{
-	struct runs_event ev = { .kind = RUNS_EVENT_ANSWER, .answer = answer };
-
-	answer->call_id = c->call->id;
-	if (!c->answer_lost && !c->timed_out && m->vms[c->vm].runs &&
-	    m->vms[c->vm].agent_epoch == c->agent_epoch)
-		agent_reduce(m, c->vm, &ev);
-}
-
-static void deliver_call(struct model *m, struct model_call *c)
-{
-	struct model_worker *w = &m->vms[c->vm].worker;
-	struct runs_answer answer = { .outcome = RUNS_OK };
-
-	if (!w->up || w->started_ms != c->worker_started_ms) {
-		c->answer_lost = TRUE;
-		return;
-	}
-	if (c->call->fencing_token < w->fencing_token) {
-		answer.outcome = RUNS_REFUSED;
-		answer.reason = "fence";
-		answer_call(m, c, &answer);
-		return;
-	}
-	w->fencing_token = c->call->fencing_token;
-	if (c->call->lease_until_ms > w->lease_until_ms &&
-	    (c->call->kind == RUNS_CALL_RENEW_LEASE ||
-	     c->call->kind == RUNS_CALL_START))
-		w->lease_until_ms = c->call->lease_until_ms;
-	switch (c->call->kind) {
-	case RUNS_CALL_START:
-		answer.outcome = worker_start(m, c->vm, c->call,
-					      &answer.reason);
-		break;
-	case RUNS_CALL_STOP:
-		worker_stop(m, w, c->call);
-		break;
-	case RUNS_CALL_RENEW_LEASE:
-		acknowledge_ends(m, w, c->call->acked_through);
-		set_lists(m, w, &answer);
-		break;
-	default:
-		break;
-	}
-	answer_call(m, c, &answer);
-	runs_answer_clear(&answer);
-}
-
-static void free_call(struct model_call *c)
-{
-	runs_call_free(c->call);
-	g_free(c);
-}
-
-static void run_calls(struct model *m)
-{
-	guint i = 0;
-
-	while (i < m->calls->len) {
-		struct model_call *c = m->calls->pdata[i];
-
-		if (!c->timed_out && !c->delivered &&
-		    m->now_ms >= c->timeout_ms &&
-		    (c->answer_lost || m->now_ms < c->arrival_ms)) {
-			struct runs_answer lost = { .outcome = RUNS_NO_ANSWER };
-			gboolean answer_lost = c->answer_lost;
-
-			/* So that answer_call() passes the time-out on. */
-			c->answer_lost = FALSE;
-			answer_call(m, c, &lost);
-			c->answer_lost = answer_lost;
-			c->timed_out = TRUE;
-		}
-		if (!c->delivered && m->now_ms >= c->arrival_ms) {
-			c->delivered = TRUE;
-			deliver_call(m, c);
-		}
-		if (c->delivered && (!c->answer_lost || c->timed_out)) {
-			g_ptr_array_remove_index(m->calls, i);
-			free_call(c);
-			continue;
-		}
-		if (c->delivered && c->answer_lost &&
-		    m->now_ms >= c->timeout_ms) {
-			struct runs_answer lost = { .outcome = RUNS_NO_ANSWER };
-
-			c->answer_lost = FALSE;
-			answer_call(m, c, &lost);
-			c->timed_out = TRUE;
-			continue;
-		}
-		i++;
-	}
-}
-
-static void send_frame(struct model *m, guint leader, int vm, gboolean to_agent,
-		       struct Rp__Frame *frame)
-{
-	struct model_frame *f = g_new0(struct model_frame, 1);
-
-	f->frame = frame;
-	f->vm = vm;
-	f->leader = leader;
-	f->to_agent = to_agent;
-	f->link_epoch = m->leaders[leader].link_epoch[vm];
-	f->arrival_ms = m->now_ms + TICK_MS;
-	g_ptr_array_add(m->frames, f);
-}
-
-static void send_hello(struct model *m, guint leader, int vm,
-		       guint64 fencing_token)
-{
-	struct Rp__Frame *frame = wire_frame_new(RP__FRAME__BODY_LEADER_HELLO);
-
-	frame->leader_hello->fence = fencing_token;
-	send_frame(m, leader, vm, TRUE, frame);
-}
-
-static void agent_reduce(struct model *m, int vm, struct runs_event *ev)
-{
-	g_autoptr(GArray)
-		effects = g_array_new(FALSE, FALSE, sizeof(struct runs_effect));
-	guint i;
-
-	ev->now_ms = m->now_ms;
-	m->events++;
-	runs_reduce(m->vms[vm].runs, ev, effects);
-	for (i = 0; i < effects->len; i++) {
-		struct runs_effect *e = &g_array_index(effects,
-						       struct runs_effect, i);
-		struct model_call *c;
-
-		if (e->kind == RUNS_EFFECT_REPORT) {
-			send_frame(m, m->vms[vm].leader, vm, FALSE, e->frame);
-			continue;
-		}
-		c = g_new0(struct model_call, 1);
-		c->call = e->call;
-		c->vm = vm;
-		c->agent_epoch = m->vms[vm].agent_epoch;
-		c->worker_started_ms = m->vms[vm].worker.started_ms;
-		c->arrival_ms = m->now_ms + TICK_MS + e->call->wait_ms / 5;
-		c->timeout_ms = m->now_ms + e->call->timeout_ms;
-		c->answer_lost = fault_occurs(
-			m, m->now_ms < m->vms[vm].unresponsive_until_ms ? 0.97
-									: 0.05);
-		/* Some calls without an answer reach the worker late, after
-		 * newer ones. */
-		if (c->answer_lost && g_rand_boolean(m->rand))
-			c->arrival_ms = m->now_ms +
-					g_rand_int_range(m->rand, LATE_MIN_MS,
-							 LATE_MAX_MS);
-		g_ptr_array_add(m->calls, c);
-	}
-}
-
-static void leader_reduce(struct model *m, guint leader, struct sch_event *ev)
-{
-	struct model_leader *l = &m->leaders[leader];
-	g_autoptr(GArray)
-		effects = g_array_new(FALSE, FALSE, sizeof(struct sch_effect));
-	guint i;
-
-	ev->now_ms = m->now_ms;
-	ev->unix_ms = m->now_ms + 1000000;
-	m->events++;
-	sch_reduce(l->sch, ev, effects);
-	for (i = 0; i < effects->len; i++) {
-		struct sch_effect *e = &g_array_index(effects,
-						      struct sch_effect, i);
-		GHashTableIter iter;
-		gpointer value;
-
-		switch (e->kind) {
-		case SCH_EFFECT_SESSION:
-			send_hello(m, leader, atoi(e->vm + 2),
-				   e->fencing_token);
-			break;
-		case SCH_EFFECT_ORDERS:
-			send_frame(m, leader, atoi(e->vm + 2), TRUE,
-				   g_steal_pointer(&e->frame));
-			break;
-		case SCH_EFFECT_COMMIT:
-			ck_assert_uint_le(e->txn->ops->len, MAX_TXN_OPS);
-			l->txn = g_steal_pointer(&e->txn);
-			l->txn_end_ms =
-				m->now_ms +
-				(fault_occurs(m, 0.05)
-					 ? g_rand_int_range(m->rand, 100, 1500)
-					 : TICK_MS);
-			break;
-		case SCH_EFFECT_REPLY:
-			g_hash_table_iter_init(&iter, m->jobs);
-			while (g_hash_table_iter_next(&iter, NULL, &value)) {
-				struct model_job *job = value;
-
-				if (job->call_ref != e->call_ref)
-					continue;
-				if (e->reply.status == 200)
-					job->accepted = TRUE;
-				if (e->reply.status == 503 && !job->accepted)
-					job->refused = TRUE;
-			}
-			break;
-		}
-		sch_effect_clear(e);
-	}
-}
-
-/* Ends the leader's transaction; it takes effect if the leader is current. */
-static void run_txn(struct model *m, guint leader)
-{
-	struct model_leader *l = &m->leaders[leader];
-	struct sch_event ev = { .kind = SCH_EVENT_COMMITTED };
-	guint i;
-
-	if (!l->txn || m->now_ms < l->txn_end_ms)
-		return;
-	if (leader != m->current) {
-		kv_txn_free(l->txn);
-		l->txn = NULL;
-		l->elected = FALSE;
-		return;
-	}
-	for (i = 0; i < l->txn->ops->len; i++) {
-		const struct kv_op *op = &g_array_index(l->txn->ops,
-							struct kv_op, i);
-
-		if (op->kind == KV_OP_PUT)
-			g_hash_table_insert(m->store, g_strdup(op->key),
-					    g_bytes_ref(op->value));
-		else
-			g_hash_table_remove(m->store, op->key);
-	}
-	kv_txn_free(l->txn);
-	l->txn = NULL;
-	ev.revision = ++m->revision;
-	/* The leader is replaced before it receives the answer. */
-	if (fault_occurs(m, 0.02)) {
-		m->next_leader_ms = m->now_ms;
-		return;
-	}
-	leader_reduce(m, leader, &ev);
-}
-
 static GPtrArray *queues_new(void)
 {
 	GPtrArray *queues = g_ptr_array_new();
@@ -297,16 +48,18 @@
 	}
 }
 
+/* Ends the leader's process. Agents may find out by their idle timeout only. */
 static void drop_leader(struct model *m, guint leader)
 {
 	struct model_leader *l = &m->leaders[leader];
-	int v;
+	int vm;
 
 	if (!l->sch)
 		return;
-	for (v = 0; v < VMS; v++) {
-		l->connected[v] = FALSE;
-		l->link_epoch[v]++;
+	for (vm = 0; vm < VMS; vm++) {
+		if (l->links[vm] && (m->faults_off || g_rand_boolean(m->rand)))
+			send_frame(m, leader, vm, l->links[vm], TRUE, NULL);
+		l->links[vm] = 0;
 	}
 	if (l->txn)
 		kv_txn_free(l->txn);
@@ -315,8 +68,17 @@
 	l->sch = NULL;
 }
 
-/* Elects another leader; the earlier one may run for 4 s more without noticing.
- */
+/* An earlier leader may run for 4 s more without noticing; one that is frozen
+ * learns it some time after it continues. */
+static gint64 leader_end_ms(struct model *m, guint leader)
+{
+	gint64 thaw_ms = m->leaders[leader].frozen_until_ms;
+
+	return MAX(m->now_ms + 4000,
+		   thaw_ms + g_rand_int_range(m->rand, TICK_MS, 1500));
+}
+
+/* Elects another leader. */
 static void elect(struct model *m)
 {
 	struct sch_options options = {
@@ -327,19 +89,19 @@
 	};
 	struct sch_event ev = { .kind = SCH_EVENT_TABLES };
 	guint old = m->current;
-	guint next = (m->current + 1) % G_N_ELEMENTS(m->leaders);
+	guint next = (m->current + 1) % LEADERS;
 	struct model_leader *l = &m->leaders[next];
 
 	drop_leader(m, next);
 	if (m->leaders[old].sch && g_rand_boolean(m->rand))
 		drop_leader(m, old);
 	else
-		m->leaders[old].end_ms = m->now_ms + 4000;
+		m->leaders[old].end_ms = leader_end_ms(m, old);
 	m->current = next;
+	memset(l, 0, sizeof(*l));
 	l->fencing_token = ++m->revision;
-	l->elected = TRUE;
 	l->end_ms = G_MAXINT64;
-	l->next_confirm_ms = 0;
+	trace(m, "leader %u is elected at %u", next, (guint)l->fencing_token);
 	options.fencing_token = l->fencing_token;
 	l->sch = sch_new(&options, m->now_ms);
 	load(m, l->sch);
@@ -402,25 +164,24 @@
 {
 	m->vms[vm].runs = runs_new();
 	m->vms[vm].agent_epoch++;
-	m->vms[vm].elected_revision = 0;
+	m->vms[vm].link = 0;
+	m->vms[vm].frozen_until_ms = 0;
 }
 
-static void agent_stop(struct model *m, int vm)
+static void agent_stop(struct model *m, int vm, gint64 restart_ms)
 {
 	guint i;
 
+	trace(m, "vm %d: the agent ends", vm);
 	runs_free(m->vms[vm].runs);
 	m->vms[vm].runs = NULL;
-	for (i = 0; i < G_N_ELEMENTS(m->leaders); i++) {
-		struct sch_event ev = { .kind = SCH_EVENT_AGENT_DISCONNECTED };
-		g_autofree char *name = g_strdup_printf("vm%d", vm);
+	m->vms[vm].agent_restart_ms = restart_ms;
+	for (i = 0; i < LEADERS; i++) {
+		const struct model_leader *l = &m->leaders[i];
 
-		if (!m->leaders[i].sch || !m->leaders[i].connected[vm])
-			continue;
-		m->leaders[i].connected[vm] = FALSE;
-		m->leaders[i].link_epoch[vm]++;
-		ev.vm = name;
-		leader_reduce(m, i, &ev);
+		/* Otherwise the leader finds out by its idle timeout. */
+		if (l->sch && l->links[vm] && g_rand_boolean(m->rand))
+			send_frame(m, i, vm, l->links[vm], FALSE, NULL);
 	}
 }
 
@@ -432,7 +193,7 @@
 				 .worker = &info };
 	g_autofree char *id = g_strdup_printf("w%d", vm);
 
-	if (!m->vms[vm].runs || !m->vms[vm].worker.up)
+	if (!m->vms[vm].runs || !m->vms[vm].worker.up || agent_frozen(m, vm))
 		return;
 	rp__worker_info__init(&info);
 	rp__resources__init(&capacity);
@@ -445,131 +206,155 @@
 	agent_reduce(m, vm, &ev);
 }
 
-static void connect_vm(struct model *m, guint leader, int vm)
+static void worker_crash(struct model *m, int vm, gint64 restart_ms)
 {
-	struct model_leader *l = &m->leaders[leader];
-	struct model_vm *v = &m->vms[vm];
-	struct sch_event ev = { .kind = SCH_EVENT_AGENT_CONNECTED };
-	g_autofree char *name = g_strdup_printf("vm%d", vm);
-	guint old = v->leader;
+	trace(m, "vm %d: the worker crashes", vm);
+	m->vms[vm].worker.up = FALSE;
+	m->vms[vm].worker.restart_ms = restart_ms;
+}
 
-	l->reconnect_ms[vm] = m->now_ms + 300;
-	if (!v->runs || l->fencing_token < v->elected_revision ||
-	    fault_occurs(m, 0.2))
-		return;
-	if (old != leader && m->leaders[old].sch &&
-	    m->leaders[old].connected[vm]) {
-		struct sch_event down = { .kind = SCH_EVENT_AGENT_DISCONNECTED,
-					  .vm = name };
-
-		m->leaders[old].connected[vm] = FALSE;
-		m->leaders[old].link_epoch[vm]++;
-		leader_reduce(m, old, &down);
+static void cut_links(struct model *m, int vm, gint64 max_reconnect_ms)
+{
+	guint i;
+
+	for (i = 0; i < LEADERS; i++) {
+		const struct model_leader *l = &m->leaders[i];
+
+		if (l->sch && l->links[vm])
+			close_by_leader(
+				m, i, vm,
+				m->now_ms + g_rand_int_range(m->rand, 0,
+							     max_reconnect_ms));
 	}
-	l->connected[vm] = TRUE;
-	l->link_epoch[vm]++;
-	v->leader = leader;
-	v->elected_revision = l->fencing_token;
-	ev.vm = name;
-	leader_reduce(m, leader, &ev);
 }
 
-static void deliver_to_agent(struct model *m, int vm,
-			     const struct Rp__Frame *frame)
+static void cut_power(struct model *m)
 {
-	struct runs_event ev = { .kind = RUNS_EVENT_ORDERS };
-
-	if (frame->body_case == RP__FRAME__BODY_LEADER_HELLO) {
-		ev.kind = RUNS_EVENT_LEADER_CONNECTED;
-		ev.fencing_token = frame->leader_hello->fence;
-		if (!runs_accepts_leader(m->vms[vm].runs, ev.fencing_token))
-			return;
-	} else {
-		ev.orders = frame->vm_orders;
+	int vm;
+
+	for (vm = 0; vm < VMS; vm++) {
+		worker_crash(m, vm, m->now_ms + 1500);
+		if (m->vms[vm].runs)
+			agent_stop(m, vm, m->now_ms + 1500);
 	}
-	agent_reduce(m, vm, &ev);
+	m->next_leader_ms = m->now_ms + 1500;
 }
 
-static void run_frames(struct model *m)
+/* Disruptions of the system while a worker does not answer. */
+static void disrupt(struct model *m, int vm)
 {
-	guint i = 0;
+	struct model_vm *v = &m->vms[vm];
+	double kind = g_rand_double(m->rand);
+
+	if (kind < 0.3 && v->runs)
+		agent_stop(m, vm,
+			   m->now_ms + g_rand_int_range(m->rand, 20, 2000));
+	else if (kind < 0.8)
+		cut_links(m, vm, 500);
+	else if (kind < 0.95)
+		m->next_leader_ms = m->now_ms;
+	else
+		cut_power(m);
+}
 
-	while (i < m->frames->len) {
-		struct model_frame *f = m->frames->pdata[i];
-		struct model_leader *l = &m->leaders[f->leader];
-		gboolean live = l->sch && l->connected[f->vm] &&
-				l->link_epoch[f->vm] == f->link_epoch;
-		g_autofree char *name = g_strdup_printf("vm%d", f->vm);
+static void freeze(struct model *m, int vm)
+{
+	struct model_leader *l = &m->leaders[m->current];
+	gint64 until_ms = m->now_ms + g_rand_int_range(m->rand, 2000, 14000);
 
-		if (m->now_ms < f->arrival_ms) {
-			i++;
-			continue;
-		}
-		g_ptr_array_remove_index(m->frames, i);
-		if (live && f->to_agent && m->vms[f->vm].runs) {
-			deliver_to_agent(m, f->vm, f->frame);
-		} else if (live && !f->to_agent) {
-			struct sch_event ev = {
-				.kind = SCH_EVENT_REPORT,
-				.vm = name,
-				.report = f->frame->vm_report,
-			};
-
-			leader_reduce(m, f->leader, &ev);
-		}
-		wire_frame_free(f->frame);
-		g_free(f);
+	if (g_rand_double(m->rand) < 0.8) {
+		trace(m, "vm %d: the agent is frozen until %d", vm,
+		      (int)until_ms);
+		m->vms[vm].frozen_until_ms = until_ms;
+		return;
 	}
+	trace(m, "leader %u is frozen until %d", m->current, (int)until_ms);
+	l->frozen_until_ms = until_ms;
+	l->confirm_sent_ms = m->now_ms;
+	/* Its lease of the leader's key expires. */
+	m->next_leader_ms = m->now_ms + g_rand_int_range(m->rand, 1300, 2500);
 }
 
 static void inject_faults(struct model *m)
 {
 	int vm = g_rand_int_range(m->rand, 0, VMS);
 	struct model_vm *v = &m->vms[vm];
-	guint i;
 
-	if (fault_occurs(m, m->load.unresponsive_probability))
+	if (fault_occurs(m, m->load.unresponsive_probability)) {
 		v->unresponsive_until_ms =
 			m->now_ms + g_rand_int_range(m->rand, 4000, 14000);
-	if (fault_occurs(m, 0.002) && v->worker.up) {
-		v->worker.up = FALSE;
-		v->worker.restart_ms = m->now_ms +
-				       g_rand_int_range(m->rand, 200, 6000);
-	}
-	if (fault_occurs(m, 0.002) && v->runs) {
-		agent_stop(m, vm);
-		v->agent_restart_ms = m->now_ms +
-				      g_rand_int_range(m->rand, 200, 5000);
+		trace(m, "vm %d: unresponsive until %d", vm,
+		      (int)v->unresponsive_until_ms);
 	}
-	if (fault_occurs(m, 0.003)) {
-		for (i = 0; i < G_N_ELEMENTS(m->leaders); i++) {
-			struct sch_event ev = {
-				.kind = SCH_EVENT_AGENT_DISCONNECTED
-			};
-			g_autofree char *name = g_strdup_printf("vm%d", vm);
-			struct model_leader *l = &m->leaders[i];
-
-			if (!l->sch || !l->connected[vm])
-				continue;
-			l->connected[vm] = FALSE;
-			l->link_epoch[vm]++;
-			l->reconnect_ms[vm] =
-				m->now_ms + g_rand_int_range(m->rand, 0, 9000);
-			ev.vm = name;
-			leader_reduce(m, i, &ev);
-		}
+	if (fault_occurs(m, m->load.burst_probability)) {
+		v->burst_ms = m->now_ms + g_rand_int_range(m->rand, 500, 10000);
+		trace(m, "vm %d: keeps calls until %d", vm, (int)v->burst_ms);
 	}
+	if (fault_occurs(m, m->load.crash_probability) && v->worker.up)
+		worker_crash(m, vm,
+			     m->now_ms + g_rand_int_range(m->rand, 200, 6000));
+	if (fault_occurs(m, 0.002) && v->runs)
+		agent_stop(m, vm,
+			   m->now_ms + g_rand_int_range(m->rand, 200, 5000));
+	if (fault_occurs(m, 0.003))
+		cut_links(m, vm, 9000);
+	if (fault_occurs(m, m->load.freeze_probability))
+		freeze(m, vm);
+	if ((m->now_ms < v->unresponsive_until_ms || m->now_ms < v->burst_ms) &&
+	    fault_occurs(m, m->load.disruption_probability))
+		disrupt(m, vm);
 	/* All VMs lose power. */
-	if (fault_occurs(m, 0.0002)) {
-		for (vm = 0; vm < VMS; vm++) {
-			m->vms[vm].worker.up = FALSE;
-			m->vms[vm].worker.restart_ms = m->now_ms + 1500;
-			if (m->vms[vm].runs)
-				agent_stop(m, vm);
-			m->vms[vm].agent_restart_ms = m->now_ms + 1500;
-		}
-		m->next_leader_ms = m->now_ms + 1500;
+	if (fault_occurs(m, 0.0002))
+		cut_power(m);
+}
+
+static void step_agent(struct model *m, int vm)
+{
+	struct model_vm *v = &m->vms[vm];
+	struct runs_event ev = { .kind = RUNS_EVENT_TICK };
+
+	worker_tick(m, vm);
+	if (!v->runs && m->now_ms >= v->agent_restart_ms)
+		agent_start(m, vm);
+	if (m->now_ms % 1500 == vm * 100)
+		heartbeat(m, vm);
+	/* An agent that was frozen finds either its timer or the frames first.
+	 */
+	if (v->frozen_until_ms == m->now_ms && g_rand_boolean(m->rand))
+		v->received_ms = m->now_ms;
+	if (v->runs && !agent_frozen(m, vm))
+		agent_reduce(m, vm, &ev);
+}
+
+static void step_leader(struct model *m, guint leader)
+{
+	struct model_leader *l = &m->leaders[leader];
+	struct sch_event ev = { .kind = SCH_EVENT_TICK };
+	struct sch_event confirmed = { .kind = SCH_EVENT_LEADERSHIP_CONFIRMED };
+	int vm;
+
+	if (l->sch && m->now_ms >= l->end_ms)
+		drop_leader(m, leader);
+	if (!l->sch)
+		return;
+	run_txn(m, leader);
+	if (m->now_ms < l->frozen_until_ms)
+		return;
+	if (l->confirm_sent_ms) {
+		confirmed.confirmed_ms = l->confirm_sent_ms;
+		l->confirm_sent_ms = 0;
+		leader_reduce(m, leader, &confirmed);
 	}
+	for (vm = 0; vm < VMS; vm++)
+		if (!l->links[vm] && m->now_ms >= l->reconnect_ms[vm])
+			connect_vm(m, leader, vm);
+	if (leader == m->current && m->now_ms >= l->next_confirm_ms) {
+		l->next_confirm_ms = m->now_ms + 500;
+		confirmed.confirmed_ms = m->now_ms;
+		leader_reduce(m, leader, &confirmed);
+	}
+	if (m->now_ms % 20 == 0)
+		leader_reduce(m, leader, &ev);
 }
 
 static void step(struct model *m)
@@ -580,44 +365,13 @@
 	m->now_ms += TICK_MS;
 	if (m->now_ms >= m->next_leader_ms)
 		elect(m);
-	for (vm = 0; vm < VMS; vm++) {
-		struct runs_event ev = { .kind = RUNS_EVENT_TICK };
-
-		worker_tick(m, &m->vms[vm].worker);
-		if (!m->vms[vm].runs &&
-		    m->now_ms >= m->vms[vm].agent_restart_ms)
-			agent_start(m, vm);
-		if (m->now_ms % 1500 == vm * 100)
-			heartbeat(m, vm);
-		if (m->vms[vm].runs)
-			agent_reduce(m, vm, &ev);
-	}
+	for (vm = 0; vm < VMS; vm++)
+		step_agent(m, vm);
 	run_calls(m);
 	run_frames(m);
-	for (i = 0; i < G_N_ELEMENTS(m->leaders); i++) {
-		struct model_leader *l = &m->leaders[i];
-		struct sch_event ev = { .kind = SCH_EVENT_TICK };
-		struct sch_event confirmed = {
-			.kind = SCH_EVENT_LEADERSHIP_CONFIRMED,
-			.confirmed_ms = m->now_ms
-		};
-
-		if (l->sch && m->now_ms >= l->end_ms)
-			drop_leader(m, i);
-		if (!l->sch)
-			continue;
-		run_txn(m, i);
-		for (vm = 0; vm < VMS; vm++)
-			if (!l->connected[vm] &&
-			    m->now_ms >= l->reconnect_ms[vm])
-				connect_vm(m, i, vm);
-		if (i == m->current && m->now_ms >= l->next_confirm_ms) {
-			l->next_confirm_ms = m->now_ms + 500;
-			leader_reduce(m, i, &confirmed);
-		}
-		if (m->now_ms % 20 == 0)
-			leader_reduce(m, i, &ev);
-	}
+	close_idle_links(m);
+	for (i = 0; i < LEADERS; i++)
+		step_leader(m, i);
 	inject_faults(m);
 }
 
@@ -634,12 +388,15 @@
 	g_bytes_unref(bytes);
 }
 
-static void model_init(struct model *m, guint32 seed)
+static void model_init(struct model *m, guint32 seed,
+		       const struct model_load *load)
 {
 	int vm;
 
 	memset(m, 0, sizeof(*m));
 	m->seed = seed;
+	m->load = *load;
+	m->tracing = g_getenv("RP_TRACE") != NULL;
 	m->rand = g_rand_new_with_seed(seed);
 	m->store = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					 unref_bytes);
@@ -651,9 +408,12 @@
 						  g_free, NULL);
 	m->done_anywhere = g_hash_table_new_full(g_str_hash, g_str_equal,
 						 g_free, NULL);
+	for (vm = 0; vm < 2; vm++)
+		m->arrivals[vm] = g_hash_table_new(NULL, NULL);
 	m->calls = g_ptr_array_new();
 	m->frames = g_ptr_array_new();
 	for (vm = 0; vm < VMS; vm++) {
+		m->vms[vm].name = g_strdup_printf("vm%d", vm);
 		worker_init(m, &m->vms[vm].worker);
 		agent_start(m, vm);
 	}
@@ -664,21 +424,20 @@
 	guint i;
 	int vm;
 
-	for (i = 0; i < G_N_ELEMENTS(m->leaders); i++)
+	for (i = 0; i < LEADERS; i++)
 		drop_leader(m, i);
 	for (vm = 0; vm < VMS; vm++) {
 		if (m->vms[vm].runs)
 			runs_free(m->vms[vm].runs);
 		worker_clear(&m->vms[vm].worker);
+		g_free(m->vms[vm].name);
 	}
 	for (i = 0; i < m->calls->len; i++)
 		free_call(m->calls->pdata[i]);
-	for (i = 0; i < m->frames->len; i++) {
-		struct model_frame *f = m->frames->pdata[i];
-
-		wire_frame_free(f->frame);
-		g_free(f);
-	}
+	for (i = 0; i < m->frames->len; i++)
+		free_frame(m->frames->pdata[i]);
+	for (i = 0; i < 2; i++)
+		g_hash_table_unref(m->arrivals[i]);
 	g_ptr_array_unref(m->calls);
 	g_ptr_array_unref(m->frames);
 	g_hash_table_unref(m->store);
@@ -720,7 +479,7 @@
 	ck_assert_uint_gt(m->starts, 20);
 }
 
-/* Runs the seeds that RP_FIRST_SEED and RP_SEEDS name. */
+/* Runs the seeds that RP_FIRST_SEED and RP_SEEDS name; RP_LOAD names a load. */
 static void run_seeds(const struct model_load *load)
 {
 	const char *text = g_getenv("RP_SEEDS");
@@ -733,8 +492,7 @@
 	for (seed = first; seed < first + seeds; seed++) {
 		struct model m;
 
-		model_init(&m, seed);
-		m.load = *load;
+		model_init(&m, seed, load);
 		elect(&m);
 		while (m.now_ms < FAULT_PHASE_MS) {
 			step(&m);
@@ -755,39 +513,54 @@
 	ck_assert_uint_gt(events, seeds * 10000);
 }
 
-/*
- * Guards against a task that runs twice at a time or after it was done, a VM
- * whose capacity is exceeded, a step that starts before its predecessors are
- * done, a start of a refused job, and a job that is lost or never ends. Causes
- * are killed processes, cut connections, lost answers, late calls and two
- * leaders at a time.
- */
-START_TEST(test_random_faults)
-{
-	static const struct model_load load = {
-		.submit_interval_ms = 1000,
-		.max_replicas = 4,
-		.max_cpu_milli = 4000,
-		.max_term_ms = 15000,
-	};
+/* Many runs, so that orders wait in the agent. */
+#define MANY_RUNS                                                              \
+	.submit_interval_ms = 500, .max_replicas = 30, .max_cpu_milli = 1000,  \
+	.max_term_ms = 80000, .unresponsive_probability = 0.004,               \
+	.crash_probability = 0.002
 
-	run_seeds(&load);
-}
-END_TEST
+/* Few runs, of which many outlast the worker's lease. */
+#define LONG_RUNS                                                              \
+	.submit_interval_ms = 1000, .max_replicas = 10, .max_cpu_milli = 1000, \
+	.max_term_ms = 80000, .unresponsive_probability = 0.004,               \
+	.crash_probability = 0.002, .long_run_probability = 0.5
 
-/* Guards against a start that takes effect after its run was given up, because
- * the worker had left it unanswered. */
-START_TEST(test_abandoned_starts_never_run)
-{
-	static const struct model_load load = {
-		.submit_interval_ms = 500,
-		.max_replicas = 30,
-		.max_cpu_milli = 1000,
-		.max_term_ms = 80000,
-		.unresponsive_probability = 0.004,
-	};
+#define ALL_DISRUPTIONS                                                        \
+	.freeze_probability = 0.001, .disruption_probability = 0.005,          \
+	.clocks_differ = TRUE, .frame_delay_probability = 0.001,               \
+	.late_commit_probability = 0.02, .burst_probability = 0.001
 
-	run_seeds(&load);
+/*
+ * Each guards against a task that runs twice at a time or after it was done, a
+ * run that starts or goes on after the leader has given it up, a lease that the
+ * leader takes to end too early, a VM whose capacity is exceeded, a step that
+ * starts before its predecessors are done, a start of a refused job, and a job
+ * that is lost or never ends.
+ */
+static const struct {
+	const char *name;
+	/** FALSE if it is run only when RP_LOAD names it. */
+	gboolean by_default;
+	struct model_load load;
+} loads[] = {
+	/* Killed processes, cut connections, lost answers, late calls and two
+	 * leaders at a time. */
+	{ "faults",
+	  TRUE,
+	  { .submit_interval_ms = 1000,
+	    .max_replicas = 4,
+	    .max_cpu_milli = 4000,
+	    .max_term_ms = 15000,
+	    .crash_probability = 0.002 } },
+	/* Starts that the worker had left unanswered. */
+	{ "unresponsive", TRUE, { MANY_RUNS } },
+	/* Leases that expire before a run's end. */
+	{ "long", TRUE, { LONG_RUNS } },
+};
+
+START_TEST(test_load)
+{
+	run_seeds(&loads[_i].load);
 }
 END_TEST
 
@@ -802,13 +575,16 @@
 {
 	Suite *suite = suite_create("sched_model");
 	TCase *tcase = tcase_create("model");
+	const char *name = g_getenv("RP_LOAD");
+	int i;
 
 	fixture_drop_logs();
 	g_log_set_default_handler(drop_log, NULL);
 	/* Seconds; the seeds take longer than the default of check. */
-	tcase_set_timeout(tcase, 180);
-	tcase_add_test(tcase, test_random_faults);
-	tcase_add_test(tcase, test_abandoned_starts_never_run);
+	tcase_set_timeout(tcase, 600);
+	for (i = 0; i < (int)G_N_ELEMENTS(loads); i++)
+		if (name ? !strcmp(name, loads[i].name) : loads[i].by_default)
+			tcase_add_loop_test(tcase, test_load, i, i + 1);
 	suite_add_tcase(suite, tcase);
 	return fixture_run(suite);
 }
--- a/sched/model_test.h
+++ b/sched/model_test.h
@@ -30,6 +30,13 @@
 /** Time after which a call without an answer may still be carried out. */
 #define LATE_MIN_MS 1000
 #define LATE_MAX_MS 12000
+/** Workers shorten leases that end later than this from now. */
+#define LEASE_MAX_MS 10000
+/** Either side closes a connection on which nothing has arrived for this time.
+ */
+#define IDLE_TIMEOUT_MS 2200
+/** Entries that can lead; an earlier leader may run on while others follow. */
+#define LEADERS 6
 
 /** What a test submits and injects. */
 struct model_load {
@@ -37,11 +44,45 @@
 	/** Upper bounds for a step: of its tasks, and of each task's CPUs. */
 	gint32 max_replicas;
 	gint32 max_cpu_milli;
+	/** Probability that a run takes so long that its worker's lease can
+	 * expire before its end. */
+	double long_run_probability;
 	/** Longest time until another leader is elected. */
 	gint32 max_term_ms;
 	/** Probability for each step of time that a worker becomes
 	 * unresponsive. */
 	double unresponsive_probability;
+	/** Probability for each step of time that a worker crashes. */
+	double crash_probability;
+	/** A call reaches the worker's next incarnation, which has the same id,
+	 * if the one that it was sent to has ended: calls other than starts,
+	 * and starts too. */
+	gboolean calls_outlive_worker;
+	gboolean starts_outlive_worker;
+	/** That happens even before its first heartbeat, when nobody knows of
+	 * the incarnation. */
+	gboolean calls_reach_unknown_worker;
+	/** Probability for each step of time that an agent or a leader does
+	 * nothing for a while and then continues with what it had. */
+	double freeze_probability;
+	/** Probability for each step of time that the agent of an unresponsive
+	 * worker restarts, is cut off, gets a new leader, or that all VMs lose
+	 * power. */
+	double disruption_probability;
+	/** Incarnations of workers differ in the value and rate of the clock.
+	 */
+	gboolean clocks_differ;
+	/** Probability for each frame that it and those behind it are delayed
+	 * for seconds. */
+	double frame_delay_probability;
+	/** Probability that a transaction's answer takes seconds. */
+	double late_commit_probability;
+	/** Probability for each step of time that a worker keeps calls for a
+	 * while, and then carries them out in any order. */
+	double burst_probability;
+	/** A lease that arrives late counts from its arrival. PROTOCOL.md says
+	 * otherwise: it ends at a time on the worker's clock. */
+	gboolean leases_from_arrival;
 };
 
 struct model_run {
@@ -69,6 +110,9 @@
 	gboolean up;
 	gint64 restart_ms;
 	guint64 started_ms;
+	/** Reading of its clock at its start, and the clock's rate. */
+	gint64 clock_start_ms;
+	gint64 clock_permille;
 	gint64 lease_until_ms;
 	guint64 fencing_token;
 	guint64 next_end;
@@ -84,38 +128,52 @@
 	struct runs_call *call;
 	int vm;
 	gint64 arrival_ms;
-	/** Incarnations of the sending agent and of the worker: a call in
-	 * flight ends with either process. */
+	/** Incarnations of the sending agent and of the worker. The answer is
+	 * lost with the agent; the call, unless calls_outlive_worker, with the
+	 * worker. */
 	guint agent_epoch;
 	guint64 worker_started_ms;
+	/** The worker's clock when the call was sent. */
+	gint64 sent_clock_ms;
 	gboolean delivered;
 	/** The worker carries it out, but the answer is lost. */
 	gboolean answer_lost;
 	gint64 timeout_ms;
 	gboolean timed_out;
+	/** The answer waits for the frozen agent. */
+	gboolean answer_waits;
+	struct runs_answer answer;
 };
 
 struct model_frame {
+	/** NULL if the sender has closed the connection. */
 	struct Rp__Frame *frame;
 	gint64 arrival_ms;
 	int vm;
 	gboolean to_agent;
-	/** Number of its connection; frames are lost with their connection. */
-	guint link_epoch;
+	gboolean lost;
+	/** Its connection, and the processes at both ends. */
+	guint link;
 	guint leader;
+	guint agent_epoch;
 };
 
 struct model_vm {
+	char *name;
 	struct runs *runs;
 	guint agent_epoch;
 	gint64 agent_restart_ms;
 	struct model_worker worker;
-	/** Index of the leader that the agent accepts orders from. */
+	/** The agent's side of its leader's connection; link is 0 for none. */
 	guint leader;
-	/** Revision at which that leader was elected; 0 for none. */
-	guint64 elected_revision;
+	guint link;
+	gint64 received_ms;
+	/** The agent does nothing until then. */
+	gint64 frozen_until_ms;
 	/** Until then the worker leaves most calls unanswered. */
 	gint64 unresponsive_until_ms;
+	/** Until then the worker keeps the calls that it gets. */
+	gint64 burst_ms;
 };
 
 struct model_leader {
@@ -124,12 +182,22 @@
 	gboolean elected;
 	/** When the leader's process ends. */
 	gint64 end_ms;
+	/** It does nothing until then. */
+	gint64 frozen_until_ms;
+	/** The transaction in flight, and when it is carried out. */
 	struct kv_txn *txn;
 	gint64 txn_end_ms;
-	gboolean connected[VMS];
-	guint link_epoch[VMS];
+	/** Revision of a transaction whose answer is on its way, 0 for none,
+	 * and when the answer arrives. */
+	guint64 txn_revision;
+	gint64 txn_answer_ms;
+	/** The leader's side of its connections; 0 for none. */
+	guint links[VMS];
+	gint64 received_ms[VMS];
 	gint64 reconnect_ms[VMS];
 	gint64 next_confirm_ms;
+	/** A confirmation sent at this time waits for the frozen leader. */
+	gint64 confirm_sent_ms;
 };
 
 struct model_job {
@@ -144,12 +212,13 @@
 struct model {
 	GRand *rand;
 	guint32 seed;
+	/** RP_TRACE is set: events are printed. */
+	gboolean tracing;
 	gint64 now_ms;
 	gboolean faults_off;
 	struct model_load load;
 	struct model_vm vms[VMS];
-	struct model_leader leaders[3];
-	guint n_leaders;
+	struct model_leader leaders[LEADERS];
 	/** Index of the elected leader. */
 	guint current;
 	gint64 next_leader_ms;
@@ -164,6 +233,11 @@
 	GHashTable *failures_acked;
 	/** Tasks whose run on a worker ended as done, acknowledged or not. */
 	GHashTable *done_anywhere;
+	/** Number of the last connection. */
+	guint last_link;
+	/** Frames on a connection arrive in order, in either direction: the
+	 * last one's arrival, by number of the connection. */
+	GHashTable *arrivals[2];
 	guint64 next_ref;
 	guint starts;
 	guint64 events;
@@ -174,6 +248,21 @@
 	return !m->faults_off && g_rand_double(m->rand) < p;
 }
 
+/* Prints a line to stderr if RP_TRACE is set. */
+G_GNUC_PRINTF(2, 3)
+static void trace(const struct model *m, const char *format, ...)
+{
+	g_autofree char *text = NULL;
+	va_list args;
+
+	if (!m->tracing)
+		return;
+	va_start(args, format);
+	text = g_strdup_vprintf(format, args);
+	va_end(args);
+	g_printerr("%d: %s\n", (int)m->now_ms, text);
+}
+
 static void free_run(gpointer data)
 {
 	struct model_run *run = data;
@@ -195,6 +284,13 @@
 	w->up = TRUE;
 	/* Unix time is the virtual clock plus 1000000 ms. */
 	w->started_ms = (guint64)m->now_ms + 1000000;
+	w->clock_start_ms = 1000;
+	w->clock_permille = 980;
+	if (m->load.clocks_differ) {
+		w->clock_start_ms = g_rand_int_range(m->rand, 1, 100) * 1000 *
+				    (g_rand_boolean(m->rand) ? 1 : 50);
+		w->clock_permille = g_rand_int_range(m->rand, 980, 1001);
+	}
 	w->lease_until_ms = 0;
 	w->fencing_token = 0;
 	w->next_end = 1;
@@ -212,11 +308,11 @@
 	g_hash_table_unref(w->last_ended_attempt);
 }
 
-/* The worker's own clock: it reads 1000 ms at the start of the incarnation and
- * is 2 % slow. */
 static gint64 worker_clock(const struct model *m, const struct model_worker *w)
 {
-	return 1000 + (m->now_ms + 1000000 - (gint64)w->started_ms) * 98 / 100;
+	return w->clock_start_ms +
+	       (m->now_ms + 1000000 - (gint64)w->started_ms) *
+		       w->clock_permille / 1000;
 }
 
 static struct model_job *find_job(struct model *m, const char *task,
@@ -255,9 +351,28 @@
 	}
 }
 
+/* Checks that the leader has not given up a run that has started, since it
+ * would order the task elsewhere. */
+static void check_known(struct model *m, int vm, const char *task,
+			guint32 attempt)
+{
+	const struct sch *sch = m->leaders[m->current].sch;
+	const struct sch_vm *v;
+
+	if (!sch)
+		return;
+	v = g_hash_table_lookup(sch->vms, m->vms[vm].name);
+	/* ck_assert_msg() writes to a file each time, and this is called for
+	 * each run at each step. */
+	if (!v || !sch_run_find(v, task, attempt))
+		ck_abort_msg("seed %u, %d ms: %s, attempt %u, runs on vm %d, "
+			     "and the leader has given it up",
+			     m->seed, (int)m->now_ms, task, attempt, vm);
+}
+
 /* Checks what must hold when a worker starts a run. */
 static void check_start(struct model *m, int vm, const char *task,
-			gint64 cpu_milli)
+			guint32 attempt, gint64 cpu_milli)
 {
 	g_auto(GStrv) parts = g_strsplit(task, ".", -1);
 	gint64 used = cpu_milli;
@@ -293,6 +408,7 @@
 		      "seed %u: the runs on vm %d need %d milli-CPUs, more "
 		      "than its capacity",
 		      m->seed, vm, (int)used);
+	check_known(m, vm, task, attempt);
 	m->starts++;
 }
 
@@ -316,8 +432,34 @@
 	g_ptr_array_remove_index(w->runs, index);
 }
 
-static void worker_tick(struct model *m, struct model_worker *w)
+/* Checks that the worker's lease ends no later than the leader takes it to end,
+ * once the leader relies on that. */
+static void check_lease(struct model *m, int vm)
+{
+	const struct model_worker *w = &m->vms[vm].worker;
+	const struct sch *sch = m->leaders[m->current].sch;
+	const struct sch_vm *v;
+
+	if (!sch || w->lease_until_ms <= worker_clock(m, w))
+		return;
+	v = g_hash_table_lookup(sch->vms, m->vms[vm].name);
+	if (!v || !v->adopted || !v->lease_until_ms ||
+	    v->worker_started_ms != w->started_ms ||
+	    (v->incarnation_first_seen_ms &&
+	     m->now_ms <= v->incarnation_first_seen_ms +
+				  SCH_MAX_ORDER_DELAY_MS +
+				  SCH_MAX_LEASE_MS * 1000 / 980))
+		return;
+	if (w->lease_until_ms > v->lease_until_ms)
+		ck_abort_msg("seed %u, %d ms: the lease of vm %d ends at %d, "
+			     "and the leader takes it to end at %d",
+			     m->seed, (int)m->now_ms, vm,
+			     (int)w->lease_until_ms, (int)v->lease_until_ms);
+}
+
+static void worker_tick(struct model *m, int vm)
 {
+	struct model_worker *w = &m->vms[vm].worker;
 	guint i = 0;
 
 	if (!w->up) {
@@ -344,6 +486,12 @@
 		else
 			i++;
 	}
+	check_lease(m, vm);
+	for (i = 0; i < w->runs->len; i++) {
+		const struct model_run *run = w->runs->pdata[i];
+
+		check_known(m, vm, run->task, run->attempt);
+	}
 }
 
 static enum runs_outcome worker_start(struct model *m, int vm,
@@ -376,12 +524,16 @@
 		return RUNS_REFUSED;
 	}
 	ck_assert_ptr_nonnull(job);
-	check_start(m, vm, call->task, job->spec->steps[step]->need->cpu_milli);
+	check_start(m, vm, call->task, call->attempt,
+		    job->spec->steps[step]->need->cpu_milli);
 	run = g_new0(struct model_run, 1);
 	run->task = g_strdup(call->task);
 	run->attempt = call->attempt;
 	run->started_ms = m->now_ms;
-	run->end_ms = m->now_ms + g_rand_int_range(m->rand, 200, 2500);
+	run->end_ms = m->now_ms +
+		      (fault_occurs(m, m->load.long_run_probability)
+			       ? g_rand_int_range(m->rand, 2500, 15000)
+			       : g_rand_int_range(m->rand, 200, 2500));
 	run->outcome = g_rand_double(m->rand) < 0.05
 			       ? RP__RUN_END_KIND__RUN_END_FAILED
 			       : RP__RUN_END_KIND__RUN_END_DONE;
