sched: random loads with outliving calls, disruptions, clocks and bursts

outlive: calls other than starts reach the worker's next incarnation, from when the agent knows it. Late acknowledgements lose no end, since the new session's token is higher and nothing starts before the worker has answered under it. disrupt: while a worker does not answer, its agent restarts, its connection is cut and made again, the leader is replaced or all VMs lose power; incarnations have clocks of their own; and workers keep calls for up to 10 s, to carry them out in any order. only-disrupt, clocks and burst are its parts, for tracing.

--- a/sched/model_test.c
+++ b/sched/model_test.c
@@ -556,6 +556,17 @@
 	{ "unresponsive", TRUE, { MANY_RUNS } },
 	/* Leases that expire before a run's end. */
 	{ "long", TRUE, { LONG_RUNS } },
+	{ "outlive", TRUE, { LONG_RUNS, .calls_outlive_worker = TRUE } },
+	{ "disrupt",
+	  TRUE,
+	  { MANY_RUNS, .disruption_probability = 0.01, .clocks_differ = TRUE,
+	    .burst_probability = 0.002 } },
+	/* Parts of it. */
+	{ "only-disrupt",
+	  FALSE,
+	  { MANY_RUNS, .disruption_probability = 0.01 } },
+	{ "clocks", FALSE, { MANY_RUNS, .clocks_differ = TRUE } },
+	{ "burst", FALSE, { MANY_RUNS, .burst_probability = 0.002 } },
 };
 
 START_TEST(test_load)
