sched: random loads that fail, off by default: freezes, delays, late starts

Cause 4 (outlive-starts): a start that was repeated or ordered to an incarnation that has ended reaches the next one before that has answered under a new token. No order can come before it.

--- a/sched/model_test.c
+++ b/sched/model_test.c
@@ -567,6 +567,27 @@
 	  { MANY_RUNS, .disruption_probability = 0.01 } },
 	{ "clocks", FALSE, { MANY_RUNS, .clocks_differ = TRUE } },
 	{ "burst", FALSE, { MANY_RUNS, .burst_probability = 0.002 } },
+	/* These fail with some seeds. */
+	{ "freeze", FALSE, { MANY_RUNS, .freeze_probability = 0.002 } },
+	{ "delay",
+	  FALSE,
+	  { MANY_RUNS, .frame_delay_probability = 0.003,
+	    .late_commit_probability = 0.05 } },
+	{ "all", FALSE, { MANY_RUNS, ALL_DISRUPTIONS } },
+	{ "long-all", FALSE, { LONG_RUNS, ALL_DISRUPTIONS } },
+	/* No order of the leader can precede the late call, so these show what
+	 * the worker's contract leaves open. */
+	{ "outlive-starts",
+	  FALSE,
+	  { MANY_RUNS, .calls_outlive_worker = TRUE,
+	    .starts_outlive_worker = TRUE } },
+	{ "outlive-unknown",
+	  FALSE,
+	  { MANY_RUNS, .calls_outlive_worker = TRUE,
+	    .starts_outlive_worker = TRUE,
+	    .calls_reach_unknown_worker = TRUE } },
+	/* Leases that the contract does not have. */
+	{ "arrival", FALSE, { MANY_RUNS, .leases_from_arrival = TRUE } },
 };
 
 START_TEST(test_load)
