--- a/sched/leader_test.h
+++ b/sched/leader_test.h
@@ -297,4 +297,43 @@
 	submit(l, path, steps, 1);
 }
 
+/* Connects or disconnects the agent of vm1. */
+G_GNUC_UNUSED static void set_connected(struct leader *l, gboolean connected)
+{
+	struct sch_event ev = {
+		.kind = connected ? SCH_EVENT_AGENT_CONNECTED
+				  : SCH_EVENT_AGENT_DISCONNECTED,
+		.vm = "vm1",
+	};
+
+	reduce(l, &ev);
+}
+
+G_GNUC_UNUSED static void submit_one_task(struct leader *l)
+{
+	struct Rp__StepSpec step;
+	struct Rp__Resources need;
+	struct Rp__StepSpec *steps[] = { &step };
+
+	init_step(&step, &need, 1, 1000);
+	submit(l, "/q/a", steps, 1);
+	commit(l);
+}
+
+/* The last orders in the effects, or NULL. */
+G_GNUC_UNUSED static const struct Rp__VmOrders *
+last_orders(const struct leader *l)
+{
+	guint i;
+
+	for (i = l->effects->len; i-- > 0;) {
+		const struct sch_effect *e =
+			&g_array_index(l->effects, struct sch_effect, i);
+
+		if (e->kind == SCH_EFFECT_ORDERS)
+			return e->frame->vm_orders;
+	}
+	return NULL;
+}
+
 #endif
