--- a/runs/hold.c
+++ b/runs/hold.c
@@ -17,7 +17,7 @@
  * so that many attempts fit into the rest of the lease. */
 #define RENEWAL_REPEAT_TIMEOUT_MS 350
 
-/** Each so many repeats, one may take RENEWAL_MARGIN_MS, for slow workers. */
+/** One repeat in this number may take RENEWAL_MARGIN_MS, for slow workers. */
 #define LONG_REPEAT_INTERVAL 3
 
 /** Delay after a renewal that was answered at once without a new end. */
@@ -30,8 +30,10 @@
 /** Delay after a failed renewal. */
 #define RENEWAL_RETRY_MS 100
 
-/* The leader counts on it that orders reach an incarnation no later than this
- * after the worker was seen, also if this process was paused. */
+/**
+ * Longest time from a renewal to the orders that rely on its answer, also if
+ * this process was paused meanwhile. SCH_MAX_ORDER_DELAY_MS has the same bound.
+ */
 #define VERIFIED_MAX_AGE_MS 1500
 
 gboolean runs_incarnation_is_verified(const struct runs *r)
