--- a/runs/hold.c
+++ b/runs/hold.c
@@ -1,9 +1,9 @@
 #include "internal.h"
 
 /*
- * Lease renewal. The call (path /radishpier/hold) is a long poll of which one
- * is always in flight, so that ends of runs are seen at once and the lease is
- * extended as the leader grants it.
+ * Lease renewal. The call is a long poll of which one is always in flight, so
+ * that ends of runs are seen at once and the lease is extended as the leader
+ * grants it.
  */
 
 /** Longest wait of a renewal for the end of a run, which also bounds the age of
--- a/runs/internal.h
+++ b/runs/internal.h
@@ -19,8 +19,6 @@
 /** An order of the leader whose outcome is not known yet. */
 struct runs_order {
 	char *task;
-	/** Of the task's name, for the log. */
-	char *job_id;
 	guint32 attempt;
 	enum runs_order_state state;
 	GBytes *payload;
--- a/runs/orders.c
+++ b/runs/orders.c
@@ -31,7 +31,6 @@
 	if (order->payload)
 		g_bytes_unref(order->payload);
 	g_free(order->task);
-	g_free(order->job_id);
 	g_free(order->checkpoint);
 	g_free(order->ticket);
 	g_free(order);
@@ -73,7 +72,6 @@
 	struct runs_order *order = g_new0(struct runs_order, 1);
 
 	order->task = g_strdup(run->task);
-	order->job_id = g_strndup(run->task, strcspn(run->task, "."));
 	order->attempt = run->attempt;
 	order->state = state;
 	order->ordered_ms = r->now_ms;
@@ -166,15 +164,15 @@
 			      const struct runs_order *order)
 {
 	gint64 waited_ms = r->now_ms - order->ordered_ms;
+	g_autofree char *job_id = wire_task_job_id(order->task);
 
 	if (order->start_unanswered || waited_ms < DELAYED_START_MS)
 		return;
-	g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "JOB_ID",
-			 order->job_id, "MESSAGE",
-			 "start of %s, attempt %u, is sent %" G_GINT64_FORMAT
-			 " ms after its order, lease until %" G_GINT64_FORMAT,
-			 order->task, order->attempt, waited_ms,
-			 r->lease_until_ms);
+	g_log_structured(
+		G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "JOB_ID", job_id, "MESSAGE",
+		"start of %s, attempt %u, is sent %" G_GINT64_FORMAT
+		" ms after its order, lease until %" G_GINT64_FORMAT,
+		order->task, order->attempt, waited_ms, r->lease_until_ms);
 }
 
 static void send_order(struct runs *r, struct runs_order *order)
@@ -239,6 +237,17 @@
 	return reason ? g_intern_string(reason) : "refused";
 }
 
+static void log_unanswered_start(const struct runs_order *order)
+{
+	g_autofree char *job_id = wire_task_job_id(order->task);
+
+	g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "JOB_ID", job_id,
+			 "MESSAGE",
+			 "start of %s, attempt %u, is not answered, "
+			 "%u in a row",
+			 order->task, order->attempt, order->unanswered_starts);
+}
+
 static void handle_start_answer(struct runs *r, struct runs_order *order,
 				const struct runs_answer *answer)
 {
@@ -249,13 +258,9 @@
 
 	if (answer->outcome == RUNS_NO_ANSWER) {
 		order->start_unanswered = TRUE;
-		g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "JOB_ID",
-				 order->job_id, "MESSAGE",
-				 "start of %s, attempt %u, is not answered, "
-				 "%u in a row",
-				 order->task, order->attempt,
-				 order->unanswered_starts + 1);
-		if (++order->unanswered_starts >= MAX_UNANSWERED_STARTS)
+		order->unanswered_starts++;
+		log_unanswered_start(order);
+		if (order->unanswered_starts >= MAX_UNANSWERED_STARTS)
 			undo_start(order, "unanswered");
 		return;
 	}
--- a/runs/runs_test.c
+++ b/runs/runs_test.c
@@ -281,8 +281,8 @@
 }
 END_TEST
 
-/* Guards against a worker that answers all calls after
- * 400 ms and loses its lease after a single lost answer. */
+/* Guards against a worker that answers all calls after 400 ms and loses its
+ * lease after a single lost answer. */
 START_TEST(test_slow_worker_keeps_its_lease_after_a_lost_answer)
 {
 	struct agent a;
--- a/sched/session_test.c
+++ b/sched/session_test.c
@@ -24,7 +24,6 @@
 	gint64 lease_until_ms;
 	guint32 silent_ms;
 	guint32 agent_up_ms;
-	gboolean gone;
 };
 
 static void report_state(struct leader *l, const struct state_report *state)
@@ -45,7 +44,6 @@
 	info.born_ms = state->worker_started_ms;
 	info.pool = (char *)"p";
 	info.capacity = &capacity;
-	info.gone = state->gone;
 	body.fence = sch_vm_get(l->s, "vm1")->fencing_token;
 	body.worker = &info;
 	body.clock_ms = state->clock_ms;
@@ -78,18 +76,11 @@
 	struct row running = { "a.0.0.0", 1,  RP__RUN_END_KIND__RUN_END_NONE,
 			       0,	  10, 0 };
 	guint i;
-	struct sch_event down = { .kind = SCH_EVENT_AGENT_DISCONNECTED,
-				  .vm = "vm1" };
 	struct leader l;
-	struct Rp__StepSpec step;
-	struct Rp__Resources need;
-	struct Rp__StepSpec *steps[] = { &step };
 
 	setup(&l);
 	add_vm(&l, "vm1");
-	init_step(&step, &need, 1, 1000);
-	submit(&l, "/q/a", steps, 1);
-	commit(&l);
+	submit_one_task(&l);
 	/* Longer than a lease of an earlier incarnation can be in force. */
 	for (i = 0; i < 15; i++) {
 		running.percent++;
@@ -97,7 +88,7 @@
 		confirm_leadership(&l);
 		report(&l, "vm1", 50, &running, 1);
 	}
-	reduce(&l, &down);
+	set_connected(&l, FALSE);
 	tick(&l, 6000);
 	ck_assert_uint_eq(task(&l, "a.0.0.0")->n_runs, 1);
 	tick(&l, 2000);
@@ -113,16 +104,10 @@
 	struct leader l;
 	const struct Rp__VmOrders *orders;
 	guint64 first;
-	guint i;
 
 	setup(&l);
 	add_vm(&l, "vm1");
-	/* Longer than a lease of an earlier incarnation can be in force. */
-	for (i = 0; i < 20; i++) {
-		tick(&l, 1000);
-		confirm_leadership(&l);
-		report(&l, "vm1", 50, NULL, 0);
-	}
+	settle(&l);
 	first = last_orders(&l)->fence;
 	submit_one_task(&l);
 	ck_assert_uint_eq(last_orders(&l)->n_starts, 1);
@@ -287,48 +272,33 @@
  */
 START_TEST(test_agent_reports_lease_of_unresponsive_worker)
 {
+	struct state_report state = {
+		.worker_started_ms = 50,
+		.clock_ms = 40000,
+		.clock_age_ms = 5000,
+		.lease_until_ms = 46000,
+		.silent_ms = 5000,
+		.agent_up_ms = 60000,
+	};
 	struct leader l;
 	struct leader next;
-	struct Rp__StepSpec step;
-	struct Rp__Resources need;
-	struct Rp__StepSpec *steps[] = { &step };
-	struct Rp__VmReport body;
-	struct Rp__WorkerInfo info;
-	struct sch_event up = { .kind = SCH_EVENT_AGENT_CONNECTED,
-				.vm = "vm1" };
-	struct sch_event ev = { .kind = SCH_EVENT_REPORT,
-				.vm = "vm1",
-				.report = &body };
 
 	setup(&l);
 	add_vm(&l, "vm1");
-	init_step(&step, &need, 1, 1000);
-	submit(&l, "/q/a", steps, 1);
-	commit(&l);
+	submit_one_task(&l);
 	setup_next(&next, &l);
-	reduce(&next, &up);
-	rp__vm_report__init(&body);
-	rp__worker_info__init(&info);
-	info.worker_id = (char *)"vm1";
-	info.born_ms = 50;
-	body.fence = FENCING_TOKEN;
-	body.worker = &info;
-	body.clock_ms = 40000;
-	body.clock_age_ms = 5000;
-	body.lease_until_ms = 46000;
-	body.silent_ms = 5000;
-	body.agent_up_ms = 60000;
+	set_connected(&next, TRUE);
 	/* An earlier leader may still grant a lease, through an agent process
 	 * that replaces this one. */
-	reduce(&next, &ev);
+	report_state(&next, &state);
 	tick(&next, 1600);
 	ck_assert_uint_eq(task(&next, "a.0.0.0")->n_runs, 1);
 	/* 6,000 ms after the election it may not, and this report was made
 	 * later, as reports are delayed by at most 3,000 ms. */
 	tick(&next, 7400);
-	body.clock_ms += 9000;
-	body.lease_until_ms += 9000;
-	reduce(&next, &ev);
+	state.clock_ms += 9000;
+	state.lease_until_ms += 9000;
+	report_state(&next, &state);
 	tick(&next, 500);
 	ck_assert_uint_eq(task(&next, "a.0.0.0")->n_runs, 1);
 	/* 5,000 + 500 + 1,100 ms after its reading of 49,000, the clock shows
@@ -340,10 +310,8 @@
 }
 END_TEST
 
-/*
- * Guards against a lease of an earlier leader that is
- * extended after the agent's account of it: an agent process that replaces the
- * one which gave the account knows no fencing token.
+/* Guards against a lease of an earlier leader that is extended after the
+ * agent's account of it, through an agent process that knows no fencing token.
  */
 START_TEST(test_account_of_leases_ends_with_the_connection)
 {
@@ -375,10 +343,8 @@
 }
 END_TEST
 
-/*
- * Guards against a lease of up to 10 s that a call to the
- * earlier incarnation gave to the new one just before its first run lists.
- */
+/* Guards against a lease of up to 10 s that a call to the earlier incarnation
+ * gave to the new one just before its first run lists. */
 START_TEST(test_first_lease_of_incarnation_may_be_the_longest)
 {
 	static const struct row running[] = {
--- a/sched/vm.c
+++ b/sched/vm.c
@@ -3,8 +3,8 @@
 /*
  * State of each worker: its incarnation, its lease and its runs.
  *
- * A run is over if its end is listed, if its start was refused, if the worker
- * has deregistered, or if its lease has certainly expired. When a worker
+ * A run is over if its end is listed, if its start was refused, if the worker's
+ * process has ended, or if its lease has certainly expired. When a worker
  * restarts, its earlier runs have ended, but their start orders may still reach
  * the new incarnation. Until that is ruled out they are kept, marked as
  * orphaned. Orders of runs that are given up otherwise may still wait in the
@@ -364,7 +364,7 @@
 }
 
 /* Returns FALSE if the report is of an earlier incarnation, or if the worker
- * has deregistered (info->gone). */
+ * has ended (info->gone). */
 static gboolean update_incarnation(struct sch *s, struct sch_vm *vm,
 				   const struct Rp__WorkerInfo *info)
 {
@@ -377,7 +377,7 @@
 	if (!same)
 		sch_vm_set_incarnation(s, vm, info->worker_id, info->born_ms);
 	if (info->gone) {
-		lose_runs(s, vm, "the worker has deregistered");
+		lose_runs(s, vm, "the worker has ended");
 		vm->info_received = FALSE;
 		return FALSE;
 	}
@@ -485,7 +485,7 @@
 static void log_unknown_run(const struct sch_vm *vm,
 			    const struct Rp__RunName *run)
 {
-	g_autofree char *job_id = g_strndup(run->task, strcspn(run->task, "."));
+	g_autofree char *job_id = wire_task_job_id(run->task);
 
 	g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_WARNING, "JOB_ID", job_id,
 			 "VM", vm->name, "MESSAGE",
--- a/wire/wire.c
+++ b/wire/wire.c
@@ -125,6 +125,11 @@
 	return name;
 }
 
+char *wire_task_job_id(const char *task)
+{
+	return g_strndup(task, strcspn(task, "."));
+}
+
 void wire_set_string(char **field, const char *value)
 {
 	char *copy = value && *value ? g_strdup(value) : NULL;
--- a/wire/wire.h
+++ b/wire/wire.h
@@ -74,6 +74,10 @@
 /** Returns a new name of a run, freed with rp__run_name__free_unpacked(). */
 struct Rp__RunName *wire_run_name_new(const char *task, guint32 attempt);
 
+/** Returns the id of the job in a task's name (job.occurrence.step.index); the
+ * caller frees it. */
+char *wire_task_job_id(const char *task);
+
 /** Returns a deep copy, freed with wire_frame_free(). */
 struct Rp__Frame *wire_frame_dup(const struct Rp__Frame *frame);
 
