cell: lead on an entry that can carry the load, and keep calls meanwhile

Cause: any entry could be elected. On the large deployment the leader needs up to 0.1 of a core on average and more while it starts; of its 55 entries 40 have 0.12. Change: entries have their CPU limit from their settings. While the key of the leader is absent, the smaller ones wait up to 0.6 s, relative to the largest that the last leader has announced. A leader that finds an entry with twice its CPUs, or that is late for 85 % of the time (after 15 s), names it as its successor, gives up leadership once no transaction is in flight, and the successor is elected. Two never lead at a time: the key changes as before. Calls that the lost leader has not answered wait up to 1.2 s for the next one, which knows their outcome by the job's id; before, each got 502. New calls wait only for a successor that was named. A 503 of the next leader is passed on as 502 if an earlier one may have accepted the job. While a call has waited 2 s for the leader, further ones are refused at once with 503 instead of 504 after 3 s. Tests: cell/candidacy_test; cell_test with entries of unequal size, a hand-over under submissions, and a leader that ends before it answers.

--- a/cell/cell.h
+++ b/cell/cell.h
@@ -52,6 +52,9 @@
 	void *ctx;
 	/** Maximum number of operations of a transaction, with comparisons. */
 	guint max_txn_ops;
+	/** CPU limit of this process, thousandths of a core; 0 if not known.
+	 * Entries with more are preferred as leader. */
+	guint cpu_milli;
 };
 
 struct cell_entry;
--- a/cell/cell_test.c
+++ b/cell/cell_test.c
@@ -51,6 +51,7 @@
 	Rp__JobState state;
 	guint waiting;
 	gboolean answered;
+	guint jobs_done;
 };
 
 static GPtrArray *read_tables(void *ctx G_GNUC_UNUSED, GBytes *document,
@@ -175,7 +176,8 @@
 	runs_answer_clear(&answer);
 }
 
-static struct cell_entry *entry_new(struct cell *cell, int index)
+static struct cell_entry *entry_new_sized(struct cell *cell, int index,
+					  guint cpu_milli)
 {
 	g_autofree char *name = g_strdup_printf("entry%d", index);
 	g_autofree char *listen = g_strdup_printf("127.0.0.1:%d", port_new());
@@ -187,6 +189,7 @@
 		.tables_key = TABLES_KEY,
 		.read_tables = read_tables,
 		.max_txn_ops = 32,
+		.cpu_milli = cpu_milli,
 	};
 	g_autoptr(GError) error = NULL;
 	struct cell_entry *entry = cell_entry_new(&options, &error);
@@ -195,6 +198,11 @@
 	return entry;
 }
 
+static struct cell_entry *entry_new(struct cell *cell, int index)
+{
+	return entry_new_sized(cell, index, 0);
+}
+
 static void send_worker_info(struct cell *cell)
 {
 	struct Rp__WorkerInfo info;
@@ -274,8 +282,7 @@
 	cell->waiting = reply->waiting;
 }
 
-/* Makes a call at the entry, waits for the reply and returns its status. */
-static guint make_call(struct cell *cell, int entry, Rp__StepVerb verb,
+static void begin_call(struct cell *cell, int entry, Rp__StepVerb verb,
 		       const char *path, struct Rp__StepJob *job)
 {
 	struct Rp__StepCall call;
@@ -288,13 +295,26 @@
 	call.timeout_ms = 3000;
 	cell->answered = FALSE;
 	cell_entry_call(cell->entries[entry], &call, on_reply, cell);
+}
+
+/* Waits for the reply to the call and returns its status. */
+static guint wait_reply(struct cell *cell)
+{
 	while (!cell->answered)
 		run_loop_ms(cell, 10);
 	return cell->status;
 }
 
+/* Makes a call at the entry, waits for the reply and returns its status. */
+static guint make_call(struct cell *cell, int entry, Rp__StepVerb verb,
+		       const char *path, struct Rp__StepJob *job)
+{
+	begin_call(cell, entry, verb, path, job);
+	return wait_reply(cell);
+}
+
 /* Submits a job of two steps, each of two tasks. */
-static guint submit(struct cell *cell, int entry, const char *path)
+static void begin_submit(struct cell *cell, int entry, const char *path)
 {
 	struct Rp__Resources need;
 	struct Rp__StepSpec step;
@@ -310,8 +330,13 @@
 	step.estimate_ms = RUN_MS;
 	job.n_steps = 2;
 	job.steps = steps;
-	return make_call(cell, entry, RP__STEP_VERB__STEP_VERB_SUBMIT, path,
-			 &job);
+	begin_call(cell, entry, RP__STEP_VERB__STEP_VERB_SUBMIT, path, &job);
+}
+
+static guint submit(struct cell *cell, int entry, const char *path)
+{
+	begin_submit(cell, entry, path);
+	return wait_reply(cell);
 }
 
 static void wait_ready(struct cell *cell, int entry)
@@ -339,6 +364,19 @@
 	}
 }
 
+/* Number of the entry that holds the leader's key; -1 if none does. */
+static int leading_entry(const struct cell *cell)
+{
+	const struct fake_item *item = g_hash_table_lookup(cell->kv.items,
+							   CELL_LEADER_KEY);
+	const char *value;
+
+	if (!item)
+		return -1;
+	value = g_bytes_get_data(item->value, NULL);
+	return value[strlen("entry")] - '0';
+}
+
 /* Guards against calls that fail at an entry that does not lead, and against a
  * job that runs twice when it is submitted at both entries. */
 START_TEST(test_job_through_either_entry)
@@ -446,16 +484,13 @@
 START_TEST(test_leader_is_killed)
 {
 	struct cell cell;
-	const struct fake_item *item;
 	int leader;
 
 	setup(&cell);
 	wait_ready(&cell, 0);
 	wait_ready(&cell, 1);
 	ck_assert_uint_eq(submit(&cell, 0, "/b/a7"), 200);
-	item = g_hash_table_lookup(cell.kv.items, CELL_LEADER_KEY);
-	leader = !strncmp(g_bytes_get_data(item->value, NULL), "entry0", 6) ? 0
-									    : 1;
+	leader = leading_entry(&cell);
 	cell_entry_free(cell.entries[leader]);
 	cell.entries[leader] = NULL;
 	run_loop_ms(&cell, 1000);
@@ -494,6 +529,98 @@
 }
 END_TEST
 
+/* Replaces the entries by a small and a large one, of which the second starts
+ * later. */
+static void setup_unequal(struct cell *cell, int second, gint64 delay_ms)
+{
+	static const guint cpu_milli[ENTRIES] = { 120, 500 };
+	int first = 1 - second;
+	int i;
+
+	setup(cell);
+	for (i = 0; i < ENTRIES; i++)
+		cell_entry_free(cell->entries[i]);
+	cell->entries[second] = NULL;
+	cell->entries[first] = entry_new_sized(cell, first, cpu_milli[first]);
+	run_loop_ms(cell, (int)delay_ms);
+	cell->entries[second] = entry_new_sized(cell, second,
+						cpu_milli[second]);
+}
+
+/* Guards against a pool that is led by a small entry although a larger one
+ * seeks to lead at the same time. */
+START_TEST(test_larger_entry_is_elected)
+{
+	struct cell cell;
+
+	setup_unequal(&cell, 1, 20);
+	wait_ready(&cell, 0);
+	wait_ready(&cell, 1);
+	ck_assert_int_eq(leading_entry(&cell), 1);
+	teardown(&cell);
+}
+END_TEST
+
+/*
+ * Guards against a small leader that stays when a larger entry joins, and
+ * around the hand-over: against an order that is carried out twice, a job that
+ * is lost, and a caller that is refused or left without an answer.
+ */
+START_TEST(test_small_leader_hands_over)
+{
+	struct cell cell;
+	guint calls = 0;
+
+	setup_unequal(&cell, 1, 1500);
+	ck_assert_int_eq(leading_entry(&cell), 0);
+	while (leading_entry(&cell) != 1) {
+		g_autofree char *path = g_strdup_printf("/b/h%u", calls);
+
+		ck_assert_uint_eq(submit(&cell, 0, path), 200);
+		ck_assert_uint_lt(++calls, 500);
+	}
+	wait_ready(&cell, 0);
+	wait_ready(&cell, 1);
+	while (calls--) {
+		g_autofree char *path = g_strdup_printf("/b/h%u", calls);
+
+		wait_state(&cell, 0, path, RP__JOB_STATE__JOB_STATE_DONE);
+		cell.jobs_done++;
+	}
+	ck_assert_uint_eq(cell.starts, 4 * cell.jobs_done);
+	/* It stays with the larger one. */
+	run_loop_ms(&cell, 3000);
+	ck_assert_int_eq(leading_entry(&cell), 1);
+	teardown(&cell);
+}
+END_TEST
+
+/* Guards against a caller that is told nothing certain about its job when the
+ * leader ends with the submission unanswered, and against the job running
+ * twice: the next leader knows the outcome by the job's id. */
+START_TEST(test_submission_survives_leader)
+{
+	struct cell cell;
+	int leader;
+
+	setup(&cell);
+	wait_ready(&cell, 0);
+	wait_ready(&cell, 1);
+	leader = leading_entry(&cell);
+	/* The transaction takes effect, but the leader does not learn of it. */
+	cell.kv.lose_txns = 1;
+	begin_submit(&cell, 1 - leader, "/b/s1");
+	while (cell.kv.lose_txns)
+		run_loop_ms(&cell, 5);
+	cell_entry_free(cell.entries[leader]);
+	cell.entries[leader] = NULL;
+	ck_assert_uint_eq(wait_reply(&cell), 200);
+	wait_state(&cell, 1 - leader, "/b/s1", RP__JOB_STATE__JOB_STATE_DONE);
+	ck_assert_uint_eq(cell.starts, 4);
+	teardown(&cell);
+}
+END_TEST
+
 /* Guards against a start that waits in the agent while the worker does not
  * answer, and runs beside its next attempt when the worker answers again. */
 START_TEST(test_given_up_start_is_never_sent)
@@ -536,6 +663,9 @@
 	tcase_add_test(tcase, test_key_of_an_earlier_process);
 	tcase_add_test(tcase, test_leader_is_killed);
 	tcase_add_test(tcase, test_store_unavailable);
+	tcase_add_test(tcase, test_larger_entry_is_elected);
+	tcase_add_test(tcase, test_small_leader_hands_over);
+	tcase_add_test(tcase, test_submission_survives_leader);
 	tcase_add_test(tcase, test_given_up_start_is_never_sent);
 	/* Seconds. */
 	tcase_set_timeout(tcase, 60);
--- a/cell/conn.c
+++ b/cell/conn.c
@@ -191,11 +191,15 @@
 		g_warning("frame dropped: %s", error->message);
 }
 
-void cell_conn_send_heartbeat(struct cell_conn *conn, guint64 fencing_token)
+void cell_conn_send_heartbeat(struct cell_conn *conn,
+			      const struct cell_heartbeat *heartbeat)
 {
 	struct Rp__Frame *frame = wire_frame_new(RP__FRAME__BODY_NODE_BEAT);
 
-	frame->node_beat->fence = fencing_token;
+	frame->node_beat->fence = heartbeat->fencing_token;
+	frame->node_beat->cpu_milli = heartbeat->cpu_milli;
+	frame->node_beat->best_cpu_milli = heartbeat->best_cpu_milli;
+	wire_set_string(&frame->node_beat->successor, heartbeat->successor);
 	cell_conn_send(conn, frame);
 	wire_frame_free(frame);
 }
--- a/cell/entry.c
+++ b/cell/entry.c
@@ -12,18 +12,39 @@
  * it, in case the leader's answer was lost. */
 #define CALL_MARGIN_MS 60
 
+/** Time for which calls that were sent to a leader wait for the next one, as
+ * only that one can tell their outcome. */
+#define LEADER_WAIT_MS 1200
+
+/** Time for which new calls wait for the successor that a leader has named. */
+#define HANDOVER_WAIT_MS 1200
+
+/** Time after which a hand-over counts as failed. */
+#define HANDOVER_MAX_MS 3000
+
+/** While a call has waited this long for the leader's answer, new ones are
+ * refused, as most would reach their timeout with an unknown outcome. */
+#define LEADER_BEHIND_MS 2000
+
 /** HTTP status codes. */
 #define STATUS_BAD_GATEWAY 502
 #define STATUS_UNAVAILABLE 503
 #define STATUS_TIMEOUT 504
 
-/** A call that was forwarded to the leader. */
+/** A call for the leader of another process. */
 struct pending_call {
 	cell_reply_fn fn;
 	void *ctx;
-	Rp__StepVerb verb;
+	/** Kept to be sent again to the next leader. */
+	struct Rp__StepCall *call;
 	/** Answered with STATUS_TIMEOUT at this time. */
 	gint64 deadline_ms;
+	/** Number of leaders to which it was sent. */
+	guint sends;
+	/** When it was sent to the connected leader; 0 if it was not. */
+	gint64 sent_ms;
+	/** Without a leader: when it is given up. */
+	gint64 wait_until_ms;
 };
 
 struct cell_entry {
@@ -51,6 +72,15 @@
 	guint64 next_call;
 	/** When the last heartbeat was sent. */
 	gint64 heartbeat_ms;
+	/** When the oldest call without an answer was sent to the leader, as of
+	 * the last tick; 0 for none. */
+	gint64 oldest_sent_ms;
+	/** Highest CPU limit of the entries besides the leader, from its
+	 * heartbeat. */
+	guint best_cpu_milli;
+	/** Whether the leader hands over, and when that became known. */
+	enum cell_handover handover;
+	gint64 handover_ms;
 };
 
 static void reply_status(cell_reply_fn fn, void *ctx, guint status,
@@ -64,29 +94,188 @@
 	fn(ctx, &reply);
 }
 
-/* Answers all pending calls, as their outcome at the leader is unknown. Calls
- * that change a job may have taken effect, so they get STATUS_BAD_GATEWAY
- * instead of STATUS_UNAVAILABLE. */
-static void fail_pending_calls(struct cell_entry *entry)
+static gboolean changes_job(const struct Rp__StepCall *call)
+{
+	return call->verb == RP__STEP_VERB__STEP_VERB_SUBMIT ||
+	       call->verb == RP__STEP_VERB__STEP_VERB_CANCEL;
+}
+
+static void free_pending(gpointer data)
+{
+	struct pending_call *pending = data;
+
+	rp__step_call__free_unpacked(pending->call, NULL);
+	g_free(pending);
+}
+
+/* Answers a call that no leader will answer. One that changes a job and was
+ * sent may have taken effect, so it gets STATUS_BAD_GATEWAY instead of
+ * STATUS_UNAVAILABLE. */
+static void give_up(const struct pending_call *pending)
+{
+	gboolean unknown = pending->sends && changes_job(pending->call);
+
+	reply_status(pending->fn, pending->ctx,
+		     unknown ? STATUS_BAD_GATEWAY : STATUS_UNAVAILABLE, 1);
+}
+
+static GHashTable *pending_calls_new(void)
+{
+	return g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+				     free_pending);
+}
+
+static void give_up_all(struct cell_entry *entry)
 {
 	GHashTable *calls = entry->pending_calls;
 	GHashTableIter iter;
 	gpointer value;
 
-	entry->pending_calls = g_hash_table_new_full(
-		g_int64_hash, g_int64_equal, g_free, g_free);
+	entry->pending_calls = pending_calls_new();
 	g_hash_table_iter_init(&iter, calls);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		give_up(value);
+	g_hash_table_unref(calls);
+}
+
+/* Lets the calls that the lost leader has not answered wait for the next one.
+ * Sending them again has no further effect: a job is known by its id. */
+static void keep_calls(struct cell_entry *entry)
+{
+	gint64 now_ms = net_now_ms();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, entry->pending_calls);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct pending_call *call = value;
-		gboolean changes =
-			call->verb == RP__STEP_VERB__STEP_VERB_SUBMIT ||
-			call->verb == RP__STEP_VERB__STEP_VERB_CANCEL;
-
-		reply_status(call->fn, call->ctx,
-			     changes ? STATUS_BAD_GATEWAY : STATUS_UNAVAILABLE,
-			     1);
+		struct pending_call *pending = value;
+
+		if (!pending->sent_ms)
+			continue;
+		pending->sent_ms = 0;
+		pending->wait_until_ms = now_ms + LEADER_WAIT_MS;
 	}
-	g_hash_table_unref(calls);
+}
+
+/* Sets the timeout that is left of the call. */
+static void set_timeout(struct pending_call *pending, gint64 now_ms)
+{
+	pending->call->timeout_ms =
+		(guint32)MAX(pending->deadline_ms + CALL_MARGIN_MS - now_ms, 1);
+}
+
+/** Context of a call that this process's leader handles. */
+struct local_call {
+	struct cell_entry *entry;
+	guint64 id;
+};
+
+static void apply_reply(struct cell_entry *entry,
+			const struct Rp__StepReply *reply)
+{
+	struct Rp__StepReply copy = *reply;
+	struct pending_call *pending;
+	gpointer key = NULL;
+	gpointer value = NULL;
+
+	if (!g_hash_table_steal_extended(entry->pending_calls, &reply->call_id,
+					 &key, &value))
+		return;
+	pending = value;
+	/* An earlier leader may have accepted what this one refuses. */
+	if (reply->status == STATUS_UNAVAILABLE && pending->sends > 1 &&
+	    changes_job(pending->call))
+		copy.status = STATUS_BAD_GATEWAY;
+	pending->fn(pending->ctx, &copy);
+	free_pending(pending);
+	g_free(key);
+}
+
+/* Takes no notice of the refusals of a leader that ends: the calls wait for the
+ * next one. */
+static void on_local_reply(void *ctx, const struct Rp__StepReply *reply)
+{
+	g_autofree struct local_call *local = ctx;
+	struct Rp__StepReply copy = *reply;
+
+	copy.call_id = local->id;
+	if (local->entry->leading)
+		apply_reply(local->entry, &copy);
+}
+
+/* Sends the call to the leader, in this or another process. */
+static void send_call(struct cell_entry *entry, guint64 id,
+		      struct pending_call *pending)
+{
+	struct Rp__Frame frame = RP__FRAME__INIT;
+	struct local_call *local;
+
+	pending->sent_ms = net_now_ms();
+	pending->sends++;
+	pending->call->call_id = id;
+	set_timeout(pending, pending->sent_ms);
+	if (entry->leading) {
+		local = g_new(struct local_call, 1);
+		local->entry = entry;
+		local->id = id;
+		cell_lead_handle_call(entry->lead, pending->call,
+				      on_local_reply, local);
+		return;
+	}
+	frame.body_case = RP__FRAME__BODY_STEP_CALL;
+	frame.step_call = pending->call;
+	cell_leader_conn_send(&entry->leader_conn, &frame);
+}
+
+static gboolean has_leader(const struct cell_entry *entry)
+{
+	return entry->leading ? cell_lead_has_tables(entry->lead)
+			      : entry->leader_conn.conn != NULL;
+}
+
+/* Sends the calls that wait for a leader, if there is one. */
+static void send_waiting_calls(struct cell_entry *entry)
+{
+	g_autoptr(GArray) ids = g_array_new(FALSE, FALSE, sizeof(guint64));
+	GHashTableIter iter;
+	gpointer key;
+	gpointer value;
+	guint i;
+
+	if (!has_leader(entry))
+		return;
+	g_hash_table_iter_init(&iter, entry->pending_calls);
+	while (g_hash_table_iter_next(&iter, &key, &value))
+		if (!((const struct pending_call *)value)->sent_ms)
+			g_array_append_vals(ids, key, 1);
+	/* The reply to one call may come at once and cause others. */
+	for (i = 0; i < ids->len; i++) {
+		guint64 id = g_array_index(ids, guint64, i);
+		struct pending_call *pending =
+			g_hash_table_lookup(entry->pending_calls, &id);
+
+		if (pending && !pending->sent_ms)
+			send_call(entry, id, pending);
+	}
+}
+
+/* Tells the store what decides how soon this process seeks to lead. */
+static void update_candidacy(struct cell_entry *entry)
+{
+	struct cell_candidacy candidacy = {
+		.own_cpu_milli = entry->options.cpu_milli,
+		.best_cpu_milli = entry->best_cpu_milli,
+		.handover = entry->handover,
+	};
+
+	cell_store_set_candidacy(entry->store, &candidacy);
+}
+
+static void set_handover(struct cell_entry *entry, enum cell_handover handover)
+{
+	entry->handover = handover;
+	entry->handover_ms = net_now_ms();
+	update_candidacy(entry);
 }
 
 static void on_leader_connected(void *ctx, guint64 fencing_token)
@@ -96,6 +285,8 @@
 	/* Another process was elected later, so this one does not lead. */
 	if (entry->lead && fencing_token > entry->fencing_token)
 		cell_store_step_down(entry->store);
+	set_handover(entry, CELL_HANDOVER_NONE);
+	send_waiting_calls(entry);
 }
 
 static void on_check_connect(void *ctx, struct cell_conn *conn)
@@ -138,7 +329,7 @@
 {
 	struct cell_entry *entry = ctx;
 
-	fail_pending_calls(entry);
+	keep_calls(entry);
 	if (entry->leader_check || !entry->leader_conn.address)
 		return;
 	entry->leader_check_token = entry->leader_conn.fencing_token;
@@ -147,21 +338,27 @@
 					     &leader_check_handler, entry);
 }
 
+static void apply_heartbeat(struct cell_entry *entry,
+			    const struct Rp__NodeBeat *heartbeat)
+{
+	entry->best_cpu_milli = heartbeat->best_cpu_milli;
+	update_candidacy(entry);
+	if (!*heartbeat->successor || entry->handover != CELL_HANDOVER_NONE)
+		return;
+	g_message("the leader hands over to %s", heartbeat->successor);
+	set_handover(entry, strcmp(heartbeat->successor, entry->name)
+				    ? CELL_HANDOVER_TO_OTHER
+				    : CELL_HANDOVER_TO_THIS);
+}
+
 static void on_frame(void *ctx, const struct Rp__Frame *frame)
 {
 	struct cell_entry *entry = ctx;
-	struct pending_call *call;
-	struct pending_call copy;
 
-	if (frame->body_case != RP__FRAME__BODY_STEP_REPLY)
-		return;
-	call = g_hash_table_lookup(entry->pending_calls,
-				   &frame->step_reply->call_id);
-	if (!call)
-		return;
-	copy = *call;
-	g_hash_table_remove(entry->pending_calls, &frame->step_reply->call_id);
-	copy.fn(copy.ctx, frame->step_reply);
+	if (frame->body_case == RP__FRAME__BODY_STEP_REPLY)
+		apply_reply(entry, frame->step_reply);
+	else if (frame->body_case == RP__FRAME__BODY_NODE_BEAT)
+		apply_heartbeat(entry, frame->node_beat);
 }
 
 static void on_accept(struct evconnlistener *listener G_GNUC_UNUSED,
@@ -185,6 +382,7 @@
 		.fencing_token = fencing_token,
 		.confirmed_ms = sent_ms,
 		.max_txn_ops = entry->options.max_txn_ops,
+		.cpu_milli = entry->options.cpu_milli,
 	};
 
 	entry->fencing_token = fencing_token;
@@ -196,6 +394,7 @@
 	struct cell_entry *entry = ctx;
 
 	entry->leading = TRUE;
+	set_handover(entry, CELL_HANDOVER_NONE);
 }
 
 static void on_deposed(void *ctx)
@@ -203,6 +402,7 @@
 	struct cell_entry *entry = ctx;
 
 	entry->leading = FALSE;
+	keep_calls(entry);
 	if (entry->lead)
 		cell_lead_free(g_steal_pointer(&entry->lead));
 }
@@ -255,31 +455,77 @@
 /* Sends a heartbeat to the leader, if due. */
 static void send_heartbeat(struct cell_entry *entry, gint64 now_ms)
 {
+	struct cell_heartbeat heartbeat = {
+		.fencing_token = entry->leader_conn.fencing_token,
+	};
+
 	if (now_ms < entry->heartbeat_ms + CELL_HEARTBEAT_MS)
 		return;
 	entry->heartbeat_ms = now_ms;
+	if (!entry->draining && cell_store_is_reachable(entry->store))
+		heartbeat.cpu_milli = entry->options.cpu_milli;
 	if (entry->leader_conn.conn)
-		cell_conn_send_heartbeat(entry->leader_conn.conn,
-					 entry->leader_conn.fencing_token);
+		cell_conn_send_heartbeat(entry->leader_conn.conn, &heartbeat);
 }
 
-static void expire_calls(struct cell_entry *entry, gint64 now_ms)
+/* Takes calls from the table that have waited long enough, as answering them
+ * may add others. Notes when the oldest of the others was sent. */
+static GPtrArray *take_expired(struct cell_entry *entry, gint64 now_ms)
 {
+	GPtrArray *expired = g_ptr_array_new_with_free_func(free_pending);
 	GHashTableIter iter;
+	gpointer key;
 	gpointer value;
 
+	entry->oldest_sent_ms = 0;
 	g_hash_table_iter_init(&iter, entry->pending_calls);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct pending_call *call = value;
-		struct pending_call copy = *call;
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		struct pending_call *pending = value;
+
+		if (now_ms >= pending->deadline_ms ||
+		    (!pending->sent_ms && now_ms >= pending->wait_until_ms)) {
+			g_hash_table_iter_steal(&iter);
+			g_free(key);
+			g_ptr_array_add(expired, pending);
+		} else if (pending->sent_ms &&
+			   (!entry->oldest_sent_ms ||
+			    pending->sent_ms < entry->oldest_sent_ms)) {
+			entry->oldest_sent_ms = pending->sent_ms;
+		}
+	}
+	return expired;
+}
 
-		if (now_ms < call->deadline_ms)
-			continue;
-		g_hash_table_iter_remove(&iter);
-		reply_status(copy.fn, copy.ctx, STATUS_TIMEOUT, 0);
+static void expire_calls(struct cell_entry *entry, gint64 now_ms)
+{
+	g_autoptr(GPtrArray) expired = take_expired(entry, now_ms);
+	guint i;
+
+	for (i = 0; i < expired->len; i++) {
+		const struct pending_call *pending = expired->pdata[i];
+
+		if (pending->sent_ms)
+			reply_status(pending->fn, pending->ctx, STATUS_TIMEOUT,
+				     0);
+		else
+			give_up(pending);
 	}
 }
 
+/* Hands over, if another entry should lead: names it on one tick, and gives up
+ * leadership on a later one. */
+static void hand_over_if_due(struct cell_entry *entry)
+{
+	gboolean named = entry->handover != CELL_HANDOVER_NONE;
+
+	if (!cell_lead_hand_over(entry->lead))
+		return;
+	if (named)
+		cell_store_hand_over(entry->store);
+	else
+		set_handover(entry, CELL_HANDOVER_TO_OTHER);
+}
+
 static void on_tick(evutil_socket_t fd G_GNUC_UNUSED, short what G_GNUC_UNUSED,
 		    void *arg)
 {
@@ -291,9 +537,15 @@
 	if (!entry->draining)
 		cell_register_tick(&entry->reg, now_ms,
 				   leader_connected || entry->leading);
+	if (entry->handover != CELL_HANDOVER_NONE && !entry->leading &&
+	    now_ms >= entry->handover_ms + HANDOVER_MAX_MS)
+		set_handover(entry, CELL_HANDOVER_NONE);
 	cell_store_tick(entry->store, now_ms, leader_connected);
-	if (entry->leading)
+	if (entry->leading) {
 		cell_lead_tick(entry->lead);
+		send_waiting_calls(entry);
+		hand_over_if_due(entry);
+	}
 	send_heartbeat(entry, now_ms);
 	expire_calls(entry, now_ms);
 }
@@ -342,8 +594,8 @@
 	cell_register_init(&entry->reg, options->kv, options->name,
 			   CELL_ROLE_ENTRY, options->listen);
 	entry->store = cell_store_new(&store_options);
-	entry->pending_calls = g_hash_table_new_full(
-		g_int64_hash, g_int64_equal, g_free, g_free);
+	update_candidacy(entry);
+	entry->pending_calls = pending_calls_new();
 	entry->next_call = 1;
 	entry->tick = event_new(options->base, -1, EV_PERSIST, on_tick, entry);
 	event_add(entry->tick, &interval);
@@ -354,11 +606,12 @@
 {
 	event_free(entry->tick);
 	evconnlistener_free(entry->listener);
+	entry->leading = FALSE;
 	if (entry->lead)
 		cell_lead_free(entry->lead);
 	if (entry->leader_check)
 		cell_conn_close(entry->leader_check);
-	fail_pending_calls(entry);
+	give_up_all(entry);
 	cell_store_free(entry->store);
 	cell_leader_conn_clear(&entry->leader_conn);
 	cell_register_clear(&entry->reg);
@@ -368,36 +621,50 @@
 	g_free(entry);
 }
 
+/* Keeps the call until a leader has answered it, and sends it to the connected
+ * one, if any. */
 static void forward(struct cell_entry *entry, const struct Rp__StepCall *call,
 		    cell_reply_fn fn, void *ctx)
 {
-	struct Rp__Frame frame = RP__FRAME__INIT;
-	struct Rp__StepCall body = *call;
 	struct pending_call *pending = g_new0(struct pending_call, 1);
 	guint64 *id = g_new(guint64, 1);
+	gint64 now_ms = net_now_ms();
 	gint64 timeout_ms = call->timeout_ms ? call->timeout_ms
 					     : CALL_TIMEOUT_MS;
 
 	*id = entry->next_call++;
 	pending->fn = fn;
 	pending->ctx = ctx;
-	pending->verb = call->verb;
-	pending->deadline_ms = net_now_ms() +
-			       MAX(timeout_ms - CALL_MARGIN_MS, 1);
+	pending->call = wire_message_dup(&call->base);
+	pending->deadline_ms = now_ms + MAX(timeout_ms - CALL_MARGIN_MS, 1);
+	pending->wait_until_ms = entry->handover_ms + HANDOVER_WAIT_MS;
 	g_hash_table_insert(entry->pending_calls, id, pending);
-	body.call_id = *id;
-	frame.body_case = RP__FRAME__BODY_STEP_CALL;
-	frame.step_call = &body;
-	cell_leader_conn_send(&entry->leader_conn, &frame);
+	if (entry->leading || entry->leader_conn.conn)
+		send_call(entry, *id, pending);
+}
+
+/* Decides whether a call is worth its wait: it is refused at once if no leader
+ * is about to connect, or if the leader of another process is too far behind to
+ * answer it in time. */
+static gboolean may_forward(const struct cell_entry *entry)
+{
+	gint64 now_ms = net_now_ms();
+
+	if (entry->leading)
+		return TRUE;
+	if (g_hash_table_size(entry->pending_calls) >= MAX_PENDING_CALLS)
+		return FALSE;
+	if (!entry->leader_conn.conn)
+		return entry->handover != CELL_HANDOVER_NONE &&
+		       now_ms < entry->handover_ms + HANDOVER_WAIT_MS;
+	return !entry->oldest_sent_ms ||
+	       now_ms < entry->oldest_sent_ms + LEADER_BEHIND_MS;
 }
 
 void cell_entry_call(struct cell_entry *entry, const struct Rp__StepCall *call,
 		     cell_reply_fn fn, void *ctx)
 {
-	if (entry->leading)
-		cell_lead_handle_call(entry->lead, call, fn, ctx);
-	else if (entry->leader_conn.conn &&
-		 g_hash_table_size(entry->pending_calls) < MAX_PENDING_CALLS)
+	if (may_forward(entry))
 		forward(entry, call, fn, ctx);
 	else
 		reply_status(fn, ctx, STATUS_UNAVAILABLE, 1);
@@ -407,8 +674,7 @@
 {
 	if (entry->draining)
 		return FALSE;
-	return entry->leading ? cell_lead_has_tables(entry->lead)
-			      : entry->leader_conn.conn != NULL;
+	return has_leader(entry);
 }
 
 void cell_entry_drain(struct cell_entry *entry)
--- a/cell/internal.h
+++ b/cell/internal.h
@@ -50,8 +50,18 @@
 				   void *ctx);
 /** Sends a frame, or drops it with a warning if the peer does not read. */
 void cell_conn_send(struct cell_conn *conn, const struct Rp__Frame *frame);
+/** What a heartbeat tells besides the fencing token; see NodeBeat. */
+struct cell_heartbeat {
+	guint64 fencing_token;
+	guint cpu_milli;
+	guint best_cpu_milli;
+	/** NULL for none. */
+	const char *successor;
+};
+
 /** Sends a heartbeat (frame NodeBeat). */
-void cell_conn_send_heartbeat(struct cell_conn *conn, guint64 fencing_token);
+void cell_conn_send_heartbeat(struct cell_conn *conn,
+			      const struct cell_heartbeat *heartbeat);
 /** Closes without calling on_close; may be called from on_frame. */
 void cell_conn_close(struct cell_conn *conn);
 /** TRUE in on_close if the outgoing connection was refused: nothing listens at
@@ -127,6 +137,54 @@
  * new string in *address. */
 int cell_register_parse(GBytes *value, enum cell_role *role, char **address);
 
+/* candidacy.c: which entry leads; decisions without state of their own. */
+
+/** Whom the leader that was connected last has named to lead next. */
+enum cell_handover {
+	CELL_HANDOVER_NONE,
+	CELL_HANDOVER_TO_THIS,
+	CELL_HANDOVER_TO_OTHER,
+};
+
+/** What decides how soon an entry seeks to lead. CPU limits are in thousandths
+ * of a core; 0 if not known. */
+struct cell_candidacy {
+	guint own_cpu_milli;
+	/** Highest limit of the entries other than the last leader. */
+	guint best_cpu_milli;
+	enum cell_handover handover;
+};
+
+/** Time for which the leader's key has to be absent before this entry seeks to
+ * lead, ms. */
+gint64 cell_candidacy_delay_ms(const struct cell_candidacy *candidacy);
+
+/** What decides whether a leader hands over. */
+struct cell_tenure {
+	guint own_cpu_milli;
+	/** Time since the records were loaded, ms. */
+	gint64 led_ms;
+	/** See cell_lag_is_behind(). */
+	gboolean behind;
+};
+
+/** TRUE if a leader hands over to a candidate with this CPU limit. */
+gboolean cell_should_hand_over(const struct cell_tenure *tenure,
+			       guint candidate_cpu_milli);
+
+/** How late the event loop is; all 0 at first. */
+struct cell_lag {
+	/** Time of the last tick, ms; 0 before the first. */
+	gint64 tick_ms;
+	/** Mean part of the time for which a tick was due, 0 to 1. */
+	double late_share;
+};
+
+/** To be called on each tick, which is due CELL_TICK_MS after the last. */
+void cell_lag_tick(struct cell_lag *lag, gint64 now_ms);
+/** TRUE if the process has too little CPU for its load. */
+gboolean cell_lag_is_behind(const struct cell_lag *lag);
+
 /* store.c: leader election and records in the key-value store. */
 struct cell_store;
 
@@ -166,6 +224,11 @@
 /** While a leader is connected its key is read less often. */
 void cell_store_tick(struct cell_store *store, gint64 now_ms,
 		     gboolean leader_connected);
+/** Sets what decides how soon this process seeks to lead; copied. */
+void cell_store_set_candidacy(struct cell_store *store,
+			      const struct cell_candidacy *candidacy);
+/** TRUE if this process reads the leader's key, so that it could lead. */
+gboolean cell_store_is_reachable(const struct cell_store *store);
 /** Writes txn, which it takes over, on the condition that this process still
  * leads; one transaction at a time. */
 void cell_store_commit(struct cell_store *store, struct kv_txn *txn);
@@ -178,6 +241,9 @@
 void cell_store_leader_ended(struct cell_store *store, guint64 fencing_token);
 /** Gives up leadership once no transaction is in flight, for good. */
 void cell_store_resign(struct cell_store *store);
+/** Gives up leadership once no transaction is in flight, in favour of another
+ * entry; this one may be elected again later. */
+void cell_store_hand_over(struct cell_store *store);
 
 /* lead.c: I/O layer of the leader's scheduler, and its connections. */
 struct cell_lead;
@@ -194,6 +260,8 @@
 	gint64 confirmed_ms;
 	/** Maximum number of operations of a transaction, with comparisons. */
 	guint max_txn_ops;
+	/** CPU limit of this process, thousandths of a core; 0 if not known. */
+	guint cpu_milli;
 };
 
 struct cell_lead *cell_lead_new(const struct cell_lead_options *options);
@@ -214,6 +282,10 @@
 void cell_lead_committed(struct cell_lead *lead, guint64 revision);
 void cell_lead_tick(struct cell_lead *lead);
 gboolean cell_lead_has_tables(const struct cell_lead *lead);
+/** Names a successor to all entries if this process should hand over; TRUE if
+ * it did so, now or before. Leadership is to be given up on a later tick, when
+ * the frames are sent. */
+gboolean cell_lead_hand_over(struct cell_lead *lead);
 void cell_lead_update_metrics(struct cell_lead *lead);
 /** Handles a call of this process's callers; fn is called once. */
 void cell_lead_handle_call(struct cell_lead *lead,
--- a/cell/lead.c
+++ b/cell/lead.c
@@ -28,6 +28,11 @@
  * commit key. */
 #define CONDITION_OPS 3
 
+/** An entry may be named as successor if it has been connected for this time
+ * and was heard of within CANDIDATE_MAX_AGE_MS. */
+#define CANDIDATE_MIN_CONNECTED_MS 700
+#define CANDIDATE_MAX_AGE_MS 1000
+
 /** Time for which the state of an ended job is kept; callers rely on 120 s. */
 #define RETENTION_MS 180000
 
@@ -48,6 +53,9 @@
 	gint64 reached_ms;
 	/** When the last heartbeat was sent. */
 	gint64 heartbeat_ms;
+	/** Of an entry: as in its last heartbeat; 0 if it cannot lead. */
+	guint cpu_milli;
+	gint64 connected_ms;
 };
 
 /** A call that is not answered yet. */
@@ -73,6 +81,13 @@
 	GArray *effects;
 	/** Effects are being executed; those of nested events are appended. */
 	gboolean executing;
+	/** When the first tick came, with all records loaded; 0 before. */
+	gint64 leading_since_ms;
+	struct cell_lag lag;
+	/** Highest CPU limit of the other entries that could lead. */
+	guint best_cpu_milli;
+	/** Name of the entry that is to lead next; NULL for none. */
+	char *successor;
 };
 
 static gint64 unix_ms(void)
@@ -199,6 +214,9 @@
 				.vm = node->name };
 
 	node->connected = TRUE;
+	node->connected_ms = net_now_ms();
+	node->cpu_milli = 0;
+	node->heartbeat_ms = 0;
 	node->dial_wait_ms = DIAL_FIRST_WAIT_MS;
 	node->reached_ms = net_now_ms();
 	g_info("connected to %s at %s", node->name, node->address);
@@ -272,6 +290,9 @@
 		if (node->role == CELL_ROLE_AGENT)
 			reduce(node->lead, &ev);
 		break;
+	case RP__FRAME__BODY_NODE_BEAT:
+		node->cpu_milli = frame->node_beat->cpu_milli;
+		break;
 	case RP__FRAME__BODY_STEP_CALL:
 		pending = g_new0(struct pending_call, 1);
 		pending->node = g_strdup(node->name);
@@ -339,6 +360,7 @@
 	g_hash_table_unref(lead->calls);
 	g_array_unref(lead->effects);
 	sch_free(lead->sch);
+	g_free(lead->successor);
 	g_free(lead);
 }
 
@@ -432,12 +454,81 @@
 /* Sends a heartbeat to an entry, if due. */
 static void send_heartbeat(struct node *node, gint64 now_ms)
 {
+	const struct cell_lead *lead = node->lead;
+	struct cell_heartbeat heartbeat = {
+		.fencing_token = lead->options.fencing_token,
+		.best_cpu_milli = lead->best_cpu_milli,
+		.successor = lead->successor,
+	};
+
 	/* Agents receive orders regularly, so they need no heartbeats. */
 	if (node->role != CELL_ROLE_ENTRY ||
 	    now_ms < node->heartbeat_ms + CELL_HEARTBEAT_MS)
 		return;
 	node->heartbeat_ms = now_ms;
-	cell_conn_send_heartbeat(node->conn, node->lead->options.fencing_token);
+	cell_conn_send_heartbeat(node->conn, &heartbeat);
+}
+
+static gboolean is_candidate(const struct node *node, gint64 now_ms)
+{
+	return node->connected && node->cpu_milli &&
+	       now_ms >= node->connected_ms + CANDIDATE_MIN_CONNECTED_MS &&
+	       now_ms < cell_conn_last_received_ms(node->conn) +
+				CANDIDATE_MAX_AGE_MS;
+}
+
+/* Returns the largest entry that could lead, or NULL. */
+static const struct node *find_candidate(const struct cell_lead *lead,
+					 gint64 now_ms)
+{
+	const struct node *best = NULL;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, lead->nodes);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct node *node = value;
+
+		if (is_candidate(node, now_ms) &&
+		    (!best || node->cpu_milli > best->cpu_milli))
+			best = node;
+	}
+	return best;
+}
+
+gboolean cell_lead_hand_over(struct cell_lead *lead)
+{
+	gint64 now_ms = net_now_ms();
+	struct cell_tenure tenure = {
+		.own_cpu_milli = lead->options.cpu_milli,
+		.led_ms = now_ms - lead->leading_since_ms,
+		.behind = cell_lag_is_behind(&lead->lag),
+	};
+	const struct node *candidate;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (lead->successor)
+		return TRUE;
+	candidate = find_candidate(lead, now_ms);
+	lead->best_cpu_milli = candidate ? candidate->cpu_milli : 0;
+	if (!candidate || !cell_should_hand_over(&tenure, candidate->cpu_milli))
+		return FALSE;
+	g_message("hands over to %s with %u milli-CPUs: this entry has %u, "
+		  "has led for %" G_GINT64_FORMAT " ms and is late for "
+		  "%.0f %% of the time",
+		  candidate->name, candidate->cpu_milli, tenure.own_cpu_milli,
+		  tenure.led_ms, 100 * lead->lag.late_share);
+	lead->successor = g_strdup(candidate->name);
+	g_hash_table_iter_init(&iter, lead->nodes);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct node *node = value;
+
+		node->heartbeat_ms = 0;
+		if (node->connected)
+			send_heartbeat(node, now_ms);
+	}
+	return TRUE;
 }
 
 /* Connects, sends heartbeats and detects idle connections. Returns FALSE if the
@@ -476,6 +567,9 @@
 	GHashTableIter iter;
 	gpointer value;
 
+	if (!lead->leading_since_ms)
+		lead->leading_since_ms = now_ms;
+	cell_lag_tick(&lead->lag, now_ms);
 	g_hash_table_iter_init(&iter, lead->nodes);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct node *node = value;
--- a/cell/store.c
+++ b/cell/store.c
@@ -29,6 +29,14 @@
 #define READ_KEY_MS 200
 #define READ_KEY_CONNECTED_MS 500
 
+/** Interval of reading the leader's key by the entry that is named to lead
+ * next. */
+#define READ_KEY_SUCCESSOR_MS 40
+
+/** Time since the last answered read of the leader's key after which the store
+ * counts as unreachable. */
+#define REACHABLE_MS 1500
+
 /** Delay after a failed call. */
 #define RETRY_MS 60
 
@@ -92,8 +100,14 @@
 	gint64 txn_next_ms;
 	/** A call of the election or the read of the records is in flight. */
 	gboolean busy;
-	/** The leader's key was absent when last read. */
+	/** The leader's key was absent when last read, for long enough. */
 	gboolean may_campaign;
+	/** Since when the leader's key was absent at each read; 0 if it was
+	 * there at the last. */
+	gint64 absent_since_ms;
+	struct cell_candidacy candidacy_rank;
+	/** When a read of the leader's key was last answered. */
+	gint64 key_read_ms;
 	/** Time of the next lease renewal. */
 	gint64 renew_ms;
 	/** A leadership confirmation is in flight. */
@@ -101,9 +115,10 @@
 	/** Time of the next leadership confirmation. */
 	gint64 confirm_ms;
 	gint64 confirm_sent_ms;
-	/** Leadership is given up once no transaction is in flight, and not
-	 * sought again. */
+	/** Leadership is given up once no transaction is in flight; it is not
+	 * sought again if this process is resigning. */
 	gboolean resigning;
+	gboolean handing_over;
 	/** Counts the calls of depose() that took effect: answers to calls sent
 	 * before the last one are ignored. */
 	guint depositions;
@@ -170,6 +185,8 @@
 			": %s",
 			store->fencing_token, why);
 	store->depositions++;
+	store->handing_over = FALSE;
+	store->absent_since_ms = 0;
 	store->state = STORE_FOLLOWING;
 	store->busy = FALSE;
 	store->confirming = FALSE;
@@ -278,6 +295,19 @@
 	return !strncmp(candidacy, store->name, len) && candidacy[len] == ' ';
 }
 
+/* Lets this process seek to lead after the delay of its rank. */
+static void on_leader_key_absent(struct cell_store *store)
+{
+	gint64 campaign_ms;
+
+	if (!store->absent_since_ms)
+		store->absent_since_ms = store->now_ms;
+	campaign_ms = store->absent_since_ms +
+		      cell_candidacy_delay_ms(&store->candidacy_rank);
+	store->may_campaign = store->now_ms >= campaign_ms;
+	store->next_ms = MIN(store->next_ms, campaign_ms);
+}
+
 /* Also detects that a candidacy whose answer was lost has succeeded. */
 static void on_leader_key_read(void *arg, const GPtrArray *pairs,
 			       gint64 revision G_GNUC_UNUSED,
@@ -294,11 +324,13 @@
 	store->busy = FALSE;
 	if (error)
 		return;
+	store->key_read_ms = store->now_ms;
 	if (!pairs->len) {
-		store->may_campaign = TRUE;
+		on_leader_key_absent(store);
 		return;
 	}
 	store->may_campaign = FALSE;
+	store->absent_since_ms = 0;
 	pair = pairs->pdata[0];
 	text = g_strndup(g_bytes_get_data(pair->value, &len),
 			 g_bytes_get_size(pair->value));
@@ -314,10 +346,14 @@
 
 static void read_leader_key(struct cell_store *store, gboolean leader_connected)
 {
+	gint64 interval_ms = READ_KEY_MS;
+
+	if (store->candidacy_rank.handover == CELL_HANDOVER_TO_THIS)
+		interval_ms = READ_KEY_SUCCESSOR_MS;
+	else if (leader_connected)
+		interval_ms = READ_KEY_CONNECTED_MS;
 	store->busy = TRUE;
-	store->next_ms = store->now_ms + (leader_connected
-						  ? READ_KEY_CONNECTED_MS
-						  : READ_KEY_MS);
+	store->next_ms = store->now_ms + interval_ms;
 	store->kv->ops->range(store->kv, CELL_LEADER_KEY, TRUE, 0,
 			      on_leader_key_read, call_ctx_new(store));
 }
@@ -417,6 +453,7 @@
 		       pair ? "another process leads" : "its key was removed");
 		return;
 	}
+	store->key_read_ms = store->now_ms;
 	store->handler.on_confirmed(store->handler.ctx, store->confirm_sent_ms);
 }
 
@@ -681,13 +718,35 @@
 	store->resigning = TRUE;
 }
 
+void cell_store_hand_over(struct cell_store *store)
+{
+	store->handing_over = TRUE;
+}
+
+void cell_store_set_candidacy(struct cell_store *store,
+			      const struct cell_candidacy *candidacy)
+{
+	gboolean named = candidacy->handover == CELL_HANDOVER_TO_THIS &&
+			 store->candidacy_rank.handover !=
+				 CELL_HANDOVER_TO_THIS;
+
+	store->candidacy_rank = *candidacy;
+	if (named)
+		store->next_ms = 0;
+}
+
+gboolean cell_store_is_reachable(const struct cell_store *store)
+{
+	return store->now_ms < store->key_read_ms + REACHABLE_MS;
+}
+
 static void finish_resigning(struct cell_store *store)
 {
 	gint64 lease = store->lease;
 
 	if (store->state < STORE_LOADING || store->txn)
 		return;
-	depose(store, "it resigned");
+	depose(store, store->resigning ? "it resigned" : "it handed over");
 	store->kv->ops->lease_revoke(store->kv, lease, on_revoked, NULL);
 }
 
@@ -697,7 +756,7 @@
 	size_t i;
 
 	store->now_ms = now_ms;
-	if (store->resigning)
+	if (store->resigning || store->handing_over)
 		finish_resigning(store);
 	switch (store->state) {
 	case STORE_FOLLOWING:
--- a/wire/rp.pb-c.c
+++ b/wire/rp.pb-c.c
@@ -5417,7 +5417,7 @@
   (ProtobufCMessageInit) rp__leader_hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp__node_beat__field_descriptors[1] =
+static const ProtobufCFieldDescriptor rp__node_beat__field_descriptors[4] =
 {
   {
     "fence",
@@ -5431,14 +5431,53 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cpu_milli",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rp__NodeBeat, cpu_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "best_cpu_milli",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rp__NodeBeat, best_cpu_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "successor",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Rp__NodeBeat, successor),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rp__node_beat__field_indices_by_name[] = {
+  2,   /* field[2] = best_cpu_milli */
+  1,   /* field[1] = cpu_milli */
   0,   /* field[0] = fence */
+  3,   /* field[3] = successor */
 };
 static const ProtobufCIntRange rp__node_beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor rp__node_beat__descriptor =
 {
@@ -5448,7 +5487,7 @@
   "Rp__NodeBeat",
   "rp",
   sizeof(Rp__NodeBeat),
-  1,
+  4,
   rp__node_beat__field_descriptors,
   rp__node_beat__field_indices_by_name,
   1,  rp__node_beat__number_ranges,
--- a/wire/rp.pb-c.h
+++ b/wire/rp.pb-c.h
@@ -1018,10 +1018,24 @@
    * Fencing token of the leader. 
    */
   uint64_t fence;
+  /*
+   * From an entry: its CPU limit in thousandths of a core if it could lead now;
+   *0 if it could not, or if the limit is not known. 
+   */
+  uint32_t cpu_milli;
+  /*
+   * From the leader: the highest cpu_milli among the other entries. 
+   */
+  uint32_t best_cpu_milli;
+  /*
+   * From a leader that hands over: the name of the entry that is to lead next;
+   *else empty. 
+   */
+  char *successor;
 };
 #define RP__NODE_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rp__node_beat__descriptor) \
-    , 0 }
+    , 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 /*
