sched: keep latency-sensitive images apart in pools that have room for it

Cause: latency-sensitive tasks were packed whatever their images. On the large deployment they reserve 82 % of the CPUs, so packing leaves no VMs free of them, and each VM had two or three images. Load that this answers: a pool full of services of many images, with best-effort batch beside them. Change: an image shares a VM with others only when few VMs without any such task are left; the fewer, the sooner (20 / number against 1 for each task of another image).

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -108,6 +108,8 @@
 	struct sch_amount capacity;
 	/** Reserved by runs, also by those that are being stopped. */
 	struct sch_amount reserved;
+	/** Runs of latency-sensitive tasks. */
+	int n_latency_sensitive;
 	/** Rises with each event that may let more tasks start here; unique
 	 * among all VMs. */
 	guint64 version;
@@ -395,6 +397,9 @@
 	/** Possible placements of the step being placed: struct sch_placement.
 	 */
 	GArray *placements;
+	/** While a latency-sensitive step is placed: the usable VMs without any
+	 * latency-sensitive task. */
+	guint n_vms_without_sensitive;
 	guint n_pending_calls;
 	/** No pending call has an earlier deadline. */
 	gint64 first_call_deadline_ms;
--- a/sched/place.c
+++ b/sched/place.c
@@ -37,13 +37,22 @@
  * Terms of the placement score; the VM with the lowest score is chosen.
  */
 
-/** Latency-sensitive tasks: for each such task of another image on the VM. */
-#define OTHER_IMAGE_PENALTY 0.15
+/** Latency-sensitive tasks: for each such task of another image on the VM. With
+ * fewer images on a VM, more best-effort images are harmless there. */
+#define OTHER_IMAGE_PENALTY 1.0
 
 /** Latency-sensitive tasks: multiplied by the reserved part of the VM's CPUs.
  * Negative, since VMs with little free CPU are preferred. */
 #define FULL_VM_WEIGHT (-2.0)
 
+/**
+ * Latency-sensitive tasks: for a VM without any, divided by the number of such
+ * VMs. Best-effort tasks run there undisturbed, so the fewer are left, the
+ * sooner images share a VM: a small pool keeps some VMs free, and a large one
+ * has room for each image on VMs of its own.
+ */
+#define LAST_FREE_VM_PENALTY 20.0
+
 /** Other long-running tasks: for each task of the same step on the VM. */
 #define SAME_STEP_PENALTY 4.0
 
@@ -142,11 +151,12 @@
 	double score;
 
 	if (step->target_ms) {
-		/* With fewer latency-sensitive images on a VM, more best-effort
-		 * images are harmless there. */
 		score = OTHER_IMAGE_PENALTY *
 				count_other_sensitive(vm, step->image) +
 			FULL_VM_WEIGHT * reserved;
+		if (!vm->n_latency_sensitive)
+			score += LAST_FREE_VM_PENALTY /
+				 MAX(s->n_vms_without_sensitive, 1);
 	} else if (step->lasts) {
 		/* Spread out, so that the loss of a VM ends few tasks of a
 		 * step. */
@@ -166,6 +176,24 @@
 	return score + FAULT_PENALTY * vm->worker_faults;
 }
 
+/* Counts what base_score() needs for a step; to be called before it. */
+static void prepare_scores(struct sch *s, const struct Rp__StepSpec *step)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	s->n_vms_without_sensitive = 0;
+	if (!step->target_ms)
+		return;
+	g_hash_table_iter_init(&iter, s->vms);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct sch_vm *vm = value;
+
+		if (!vm->n_latency_sensitive && sch_vm_is_usable(s, vm))
+			s->n_vms_without_sensitive++;
+	}
+}
+
 /* TRUE if the task, when it is a best-effort one, starts wherever it fits; see
  * MAX_INTERFERENCE_WAIT_MS. */
 static gboolean may_interfere(const struct sch *s, const struct sch_task *task)
@@ -212,6 +240,7 @@
 	double best_score = 0;
 	double score;
 
+	prepare_scores(s, step);
 	g_hash_table_iter_init(&iter, s->vms);
 	while (queue && g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct sch_vm *vm = value;
@@ -318,6 +347,7 @@
 	gpointer value;
 
 	g_array_set_size(s->placements, 0);
+	prepare_scores(s, instance->step);
 	g_hash_table_iter_init(&iter, s->vms);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct sch_placement placement = { .vm = value };
--- a/sched/place_test.c
+++ b/sched/place_test.c
@@ -177,6 +177,117 @@
 }
 END_TEST
 
+/* Name of the VM on which the task runs. */
+static const char *vm_of(struct leader *l, const char *name)
+{
+	ck_assert_uint_eq(task(l, name)->n_runs, 1);
+	return task(l, name)->runs[0]->vm->name;
+}
+
+/** A pool whose CPUs latency-sensitive tasks of 1 CPU reserve, and half use. */
+#define POOL_VMS 60
+#define POOL_IMAGES 6
+#define POOL_TASKS (POOL_VMS * 10)
+
+static void submit_latency_sensitive(struct leader *l, guint number,
+				     const char *image)
+{
+	g_autofree char *path = g_strdup_printf("/q/s%u", number);
+	struct Rp__StepSpec step;
+	struct Rp__Resources need;
+	struct Rp__StepSpec *steps[] = { &step };
+
+	init_step(&step, &need, 1, 1000);
+	step.lasts = TRUE;
+	step.target_ms = 50;
+	step.image = (char *)image;
+	submit(l, path, steps, 1);
+	if (number % 20)
+		return;
+	tick(l, 20);
+	confirm_leadership(l);
+}
+
+/*
+ * Guards against latency-sensitive images that are mixed on VMs of a large
+ * pool, which leaves best-effort images without a VM where they harm none. The
+ * load fills the pool with six images that arrive in turn; the best-effort
+ * image harms three of them. At least half of the jobs that could start beside
+ * the others have to start at once.
+ */
+START_TEST(test_best_effort_starts_in_pool_full_of_services)
+{
+	struct leader l;
+	struct colo_table *colo;
+	guint started = 0;
+	guint i;
+
+	setup(&l);
+	colo = l.s->colo;
+	for (i = 0; i < POOL_VMS; i++) {
+		g_autofree char *name = g_strdup_printf("vm%u", i);
+
+		add_vm(&l, name);
+	}
+	for (i = 0; i < POOL_TASKS; i++) {
+		g_autofree char *image = g_strdup_printf("image%u",
+							 i % POOL_IMAGES);
+
+		submit_latency_sensitive(&l, i, image);
+		colo_set_coefficient(colo, colo_image_id(colo, image),
+				     colo_image_id(colo, "fill"),
+				     i % 2 ? 0.5 : 0);
+	}
+	for (i = 0; i < POOL_VMS / 2; i++) {
+		g_autofree char *path = g_strdup_printf("/q/f%u", i);
+
+		submit_best_effort(&l, path);
+	}
+	tick(&l, 20);
+	for (i = 0; i < POOL_VMS / 2; i++) {
+		g_autofree char *name = g_strdup_printf("f%u.0.0.0", i);
+
+		started += task(&l, name)->n_runs;
+	}
+	ck_assert_uint_ge(started, POOL_VMS / 4);
+	teardown(&l);
+}
+END_TEST
+
+/*
+ * Guards against a small pool on whose VMs each has a latency-sensitive task,
+ * so that best-effort tasks run undisturbed nowhere, though few VMs could hold
+ * all of them.
+ */
+START_TEST(test_small_pool_keeps_vms_without_services)
+{
+	struct leader l;
+
+	setup(&l);
+	add_vm(&l, "vm1");
+	add_vm(&l, "vm2");
+	start_latency_sensitive(&l, "/q/a", "web", 4000);
+	start_latency_sensitive(&l, "/q/b", "api", 4000);
+	ck_assert_str_eq(vm_of(&l, "a.0.0.0"), vm_of(&l, "b.0.0.0"));
+	teardown(&l);
+}
+END_TEST
+
+/* Guards against a latency-sensitive task that waits because only VMs with
+ * other images have room. */
+START_TEST(test_latency_sensitive_images_share_a_full_pool)
+{
+	struct leader l;
+
+	setup(&l);
+	add_vm(&l, "vm1");
+	start_latency_sensitive(&l, "/q/a", "web", 4000);
+	start_latency_sensitive(&l, "/q/b", "api", 4000);
+	ck_assert_str_eq(vm_of(&l, "b.0.0.0"), "vm1");
+	teardown(&l);
+}
+END_TEST
+
 /*
  * Guards against best-effort tasks that take headroom of an image that they
  * slow, while they fit beside one that they do not slow: vm2 has fewer unused
@@ -414,6 +525,9 @@
 		test_failed_long_running_task_restarts_on_worker_with_fault);
 	tcase_add_test(tcase, test_earlier_runs_do_not_extend_quarantine);
 	tcase_add_test(tcase, test_best_effort_avoids_known_interference);
+	tcase_add_test(tcase, test_best_effort_starts_in_pool_full_of_services);
+	tcase_add_test(tcase, test_small_pool_keeps_vms_without_services);
+	tcase_add_test(tcase, test_latency_sensitive_images_share_a_full_pool);
 	tcase_add_test(tcase, test_best_effort_prefers_vm_without_interference);
 	tcase_add_test(tcase, test_best_effort_waits_for_low_interference);
 	tcase_add_test(tcase, test_best_effort_without_cpus);
--- a/sched/run.c
+++ b/sched/run.c
@@ -21,6 +21,8 @@
 	vm->reserved.cpu_milli += sign * run->reserved.cpu_milli;
 	vm->reserved.memory_bytes += sign * run->reserved.memory_bytes;
 	vm->reserved.accelerators += sign * run->reserved.accelerators;
+	if (run->task->instance->step->target_ms)
+		vm->n_latency_sensitive += (int)sign;
 }
 
 struct sch_run *sch_run_new(struct sch *s, struct sch_task *task,
