cell: print a process's address before it is freed; test malformed frames

Cause: when a process registered at another address, the leader freed the old one and then logged the end of the connection to it. Change: the other order. Tests: a registered address that changes or cannot be read, and bytes that are not frames, sent to entries and agent. They pass without the change too: the sanitizer does not look at what a log line prints.

--- a/cell/cell_test.c
+++ b/cell/cell_test.c
@@ -1,5 +1,7 @@
 #include <check.h>
+#include <event2/util.h>
 #include <stdlib.h>
+#include <sys/socket.h>
 
 #include "../net/net.h"
 #include "../standin/port.h"
@@ -621,6 +623,118 @@
 }
 END_TEST
 
+/* Returns the registered address of a process, to be freed. */
+static char *address_of(const struct cell *cell, const char *name)
+{
+	g_autofree char *key = g_strconcat(CELL_NODE_PREFIX, name, NULL);
+	const struct fake_item *item = g_hash_table_lookup(cell->kv.items, key);
+	g_autofree char *text = NULL;
+	gsize len;
+	const char *data;
+
+	ck_assert_ptr_nonnull(item);
+	data = g_bytes_get_data(item->value, &len);
+	text = g_strndup(data, len);
+	return g_strdup(strchr(text, ' ') + 1);
+}
+
+static void set_address(struct cell *cell, const char *name, const char *role,
+			const char *address)
+{
+	g_autofree char *key = g_strconcat(CELL_NODE_PREFIX, name, NULL);
+	g_autofree char *text = g_strdup_printf("%s %s", role, address);
+	g_autoptr(GBytes) value = g_bytes_new(text, strlen(text));
+
+	cell->kv.revision++;
+	fake_put(&cell->kv, key, value, 0);
+}
+
+/* Guards against a leader that ends, or that uses freed memory, when a process
+ * registers at another address while it is still connected, or with a value
+ * that cannot be read. */
+START_TEST(test_registered_address_changes)
+{
+	g_autofree char *address = NULL;
+	struct cell cell;
+
+	setup(&cell);
+	wait_ready(&cell, 0);
+	wait_ready(&cell, 1);
+	/* The leader is connected to the agent then. */
+	ck_assert_uint_eq(submit(&cell, 0, "/b/m0"), 200);
+	wait_state(&cell, 0, "/b/m0", RP__JOB_STATE__JOB_STATE_DONE);
+	address = address_of(&cell, "vm1");
+	set_address(&cell, "vm1", "agent", "127.0.0.1:1");
+	run_loop_ms(&cell, 200);
+	set_address(&cell, "vm1", "agent", "not an address");
+	set_address(&cell, "vm1", "nothing", "");
+	run_loop_ms(&cell, 200);
+	set_address(&cell, "vm1", "agent", address);
+	ck_assert_uint_eq(submit(&cell, 0, "/b/m1"), 200);
+	wait_state(&cell, 0, "/b/m1", RP__JOB_STATE__JOB_STATE_DONE);
+	ck_assert_uint_eq(cell.starts, 8);
+	teardown(&cell);
+}
+END_TEST
+
+/* Sends bytes to the process, with the connection left open. */
+static evutil_socket_t send_bytes(const struct cell *cell, const char *name,
+				  const void *bytes, size_t len)
+{
+	g_autofree char *address = address_of(cell, name);
+	struct sockaddr_storage addr;
+	int addr_len = sizeof(addr);
+	evutil_socket_t fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	ck_assert_int_eq(evutil_parse_sockaddr_port(
+				 address, (struct sockaddr *)&addr, &addr_len),
+			 0);
+	ck_assert_int_eq(
+		connect(fd, (struct sockaddr *)&addr, (socklen_t)addr_len), 0);
+	ck_assert_int_eq(send(fd, bytes, len, 0), (int)len);
+	return fd;
+}
+
+/* Guards against a process that ends, or that loses its leader, because of
+ * bytes that are not a frame, a frame of no known size, or one cut short. */
+START_TEST(test_malformed_frames)
+{
+	static const struct {
+		char bytes[8];
+		size_t len;
+	} cases[] = {
+		{ { 'G', 'E', 'T', ' ', '/', '\r', '\n', 0 }, 7 },
+		{ { -1, -1, -1, -1, -1, -1, -1, -1 }, 8 },
+		{ { 0, 0, 0, 4, -1, -1, -1, -1 }, 8 },
+		{ { 0, 0, 0, 100, 1 }, 5 },
+		{ { 0 }, 8 },
+	};
+	static const char *const names[] = { "entry0", "entry1", "vm1" };
+	evutil_socket_t fds[G_N_ELEMENTS(names) * G_N_ELEMENTS(cases)];
+	struct cell cell;
+	size_t n = 0;
+	size_t i;
+	size_t k;
+
+	setup(&cell);
+	wait_ready(&cell, 0);
+	wait_ready(&cell, 1);
+	for (i = 0; i < G_N_ELEMENTS(names); i++)
+		for (k = 0; k < G_N_ELEMENTS(cases); k++)
+			fds[n++] = send_bytes(&cell, names[i], cases[k].bytes,
+					      cases[k].len);
+	run_loop_ms(&cell, 200);
+	ck_assert_uint_eq(submit(&cell, 0, "/b/m2"), 200);
+	ck_assert_uint_eq(submit(&cell, 1, "/b/m3"), 200);
+	wait_state(&cell, 0, "/b/m2", RP__JOB_STATE__JOB_STATE_DONE);
+	wait_state(&cell, 1, "/b/m3", RP__JOB_STATE__JOB_STATE_DONE);
+	ck_assert_uint_eq(cell.starts, 8);
+	while (n--)
+		evutil_closesocket(fds[n]);
+	teardown(&cell);
+}
+END_TEST
+
 /* Guards against a start that waits in the agent while the worker does not
  * answer, and runs beside its next attempt when the worker answers again. */
 START_TEST(test_given_up_start_is_never_sent)
@@ -666,6 +780,8 @@
 	tcase_add_test(tcase, test_larger_entry_is_elected);
 	tcase_add_test(tcase, test_small_leader_hands_over);
 	tcase_add_test(tcase, test_submission_survives_leader);
+	tcase_add_test(tcase, test_registered_address_changes);
+	tcase_add_test(tcase, test_malformed_frames);
 	tcase_add_test(tcase, test_given_up_start_is_never_sent);
 	/* Seconds. */
 	tcase_set_timeout(tcase, 60);
--- a/cell/lead.c
+++ b/cell/lead.c
@@ -415,13 +415,13 @@
 		return;
 	}
 	if (node) {
-		g_free(node->address);
 		if (node->conn) {
 			struct cell_conn *conn = node->conn;
 
 			on_disconnect(node, "its address has changed");
 			cell_conn_close(conn);
 		}
+		g_free(node->address);
 	} else {
 		node = g_new0(struct node, 1);
 		node->lead = lead;
