sched: a start that is refused as late or by its token is no worker fault

Cause: each refused start but for stops and drains counted as a fault of the worker, and two in a row of different jobs quarantined it for 3 s. Ruled out: 429 and 503 of an unhealthy worker, which stay faults. Test: session_test, test_void_order_is_no_worker_fault; before, 2 faults.

--- a/sched/session_test.c
+++ b/sched/session_test.c
@@ -420,12 +420,88 @@
 }
 END_TEST
 
+/* Reports that the start of a run was refused. */
+static void report_refused(struct leader *l, const char *name,
+			   const char *reason)
+{
+	struct Rp__VmReport body;
+	struct Rp__WorkerInfo info;
+	struct Rp__Resources capacity;
+	struct Rp__RunName run;
+	struct Rp__RunAnswer answer;
+	struct Rp__RunAnswer *answers[] = { &answer };
+	struct sch_event ev = { .kind = SCH_EVENT_REPORT,
+				.vm = "vm1",
+				.report = &body };
+
+	rp__vm_report__init(&body);
+	rp__worker_info__init(&info);
+	rp__resources__init(&capacity);
+	rp__run_name__init(&run);
+	rp__run_answer__init(&answer);
+	capacity.cpu_milli = CPU_MILLI;
+	capacity.memory_bytes = 1 << 30;
+	info.worker_id = (char *)"vm1";
+	info.born_ms = 50;
+	info.pool = (char *)"p";
+	info.capacity = &capacity;
+	run.task = (char *)name;
+	run.attempt = task(l, name)->attempts;
+	answer.run = &run;
+	answer.reason = (char *)reason;
+	body.fence = sch_vm_get(l->s, "vm1")->fencing_token;
+	body.worker = &info;
+	body.answers = answers;
+	body.n_answers = 1;
+	reduce(l, &ev);
+}
+
+/* Submits two jobs, whose starts are refused with this reason; returns the
+ * number of faults in a row that the worker has then. */
+static guint faults_after_refusals(const char *reason)
+{
+	static const char *const names[] = { "a", "b" };
+	struct leader l;
+	guint faults;
+	guint i;
+
+	setup(&l);
+	add_vm(&l, "vm1");
+	for (i = 0; i < G_N_ELEMENTS(names); i++) {
+		g_autofree char *path = g_strconcat("/q/", names[i], NULL);
+		g_autofree char *name = g_strconcat(names[i], ".0.0.0", NULL);
+		struct Rp__StepSpec step;
+		struct Rp__Resources need;
+		struct Rp__StepSpec *steps[] = { &step };
+
+		init_step(&step, &need, 1, 1000);
+		submit(&l, path, steps, 1);
+		commit(&l);
+		confirm_leadership(&l);
+		report_refused(&l, name, reason);
+	}
+	faults = sch_vm_get(l.s, "vm1")->worker_faults;
+	teardown(&l);
+	return faults;
+}
+
+/* Guards against a sound worker that is quarantined because orders reached it
+ * after its lease or under an earlier fencing token. */
+START_TEST(test_void_order_is_no_worker_fault)
+{
+	ck_assert_uint_eq(faults_after_refusals("late"), 0);
+	ck_assert_uint_eq(faults_after_refusals("fence"), 0);
+	ck_assert_uint_eq(faults_after_refusals("busy"), 2);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("session");
 	TCase *tcase = tcase_create("session");
 
 	fixture_drop_logs();
+	tcase_add_test(tcase, test_void_order_is_no_worker_fault);
 	tcase_add_test(tcase, test_lost_vm_waits_for_lease);
 	tcase_add_test(tcase, test_lost_run_cannot_start_under_new_lease);
 	tcase_add_test(tcase, test_each_connection_has_its_own_token);
--- a/sched/vm.c
+++ b/sched/vm.c
@@ -567,6 +567,20 @@
 	}
 }
 
+/* TRUE if a start with this outcome shows a fault of the worker: not if the
+ * order was void, or came when its lease had expired. */
+static gboolean is_worker_fault(const char *reason)
+{
+	static const char *const others[] = { "stopped", "draining", "late",
+					      "fence" };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(others); i++)
+		if (!strcmp(reason, others[i]))
+			return FALSE;
+	return TRUE;
+}
+
 static void apply_answer(struct sch *s, struct sch_vm *vm,
 			 const struct Rp__RunAnswer *answer)
 {
@@ -591,8 +605,7 @@
 		run->outdated_lists = 0;
 		return;
 	}
-	if (strcmp(answer->reason, "stopped") &&
-	    strcmp(answer->reason, "draining") && !run->stopping)
+	if (is_worker_fault(answer->reason) && !run->stopping)
 		sch_vm_fault(s, vm, run->task->job, run->state_ms);
 	if (run->task->instance->step->gang &&
 	    !sch_job_has_ended(run->task->job))
