cell: begin no transaction while a leader hands over; notice sooner that it is behind

Change: a leader that has named a successor begins no transaction. It is behind when late for half of the time over 1.5 s (before 0.85 over 2 s); its lateness is a metric, radishpier_leader_late_ratio. So a core whose quota is used up in each tenth of a second now counts as too small, and candidacy_test says so; before, it had that case as sound.

--- a/cell/candidacy.c
+++ b/cell/candidacy.c
@@ -35,15 +35,15 @@
 #define BEHIND_MIN_TENURE_MS 15000
 
 /** Time constant of the mean lateness of ticks. */
-#define LAG_MEAN_MS 2000
+#define LAG_MEAN_MS 1500
 
 /** Part of a tick's lateness that counts, so that a pause is not taken for
  * load. */
 #define LAG_CAP_MS 500
 
-/** A leader is behind if it is late for this part of the time, as its ticks
- * are then more than 130 ms apart. */
-#define BEHIND_SHARE 0.85
+/** A leader is behind if it is late for this part of the time; one with enough
+ * CPU is late for a few hundredths of it. */
+#define BEHIND_SHARE 0.5
 
 gint64 cell_candidacy_delay_ms(const struct cell_candidacy *candidacy)
 {
--- a/cell/candidacy_test.c
+++ b/cell/candidacy_test.c
@@ -103,6 +103,7 @@
 {
 	struct cell_lag lag = { 0 };
 	gint64 now_ms = 1000;
+	guint i;
 
 	tick_for(&lag, &now_ms, 20, 10000);
 	ck_assert(!cell_lag_is_behind(&lag));
@@ -111,8 +112,16 @@
 	cell_lag_tick(&lag, now_ms);
 	tick_for(&lag, &now_ms, 20, 500);
 	ck_assert(!cell_lag_is_behind(&lag));
-	/* The quota of each tenth of a second is used up. */
-	tick_for(&lag, &now_ms, 100, 10000);
+	/* The quota of every second tenth of a second is used up. */
+	for (i = 0; i < 50; i++) {
+		tick_for(&lag, &now_ms, 100, 100);
+		tick_for(&lag, &now_ms, 20, 100);
+	}
+	ck_assert(!cell_lag_is_behind(&lag));
+	/* That of each tenth of a second is used up. */
+	tick_for(&lag, &now_ms, 100, 6000);
+	ck_assert(cell_lag_is_behind(&lag));
+	tick_for(&lag, &now_ms, 20, 4000);
 	ck_assert(!cell_lag_is_behind(&lag));
 	tick_for(&lag, &now_ms, 300, 6000);
 	ck_assert(cell_lag_is_behind(&lag));
--- a/cell/lead.c
+++ b/cell/lead.c
@@ -179,8 +179,11 @@
 			cell_conn_send(node->conn, effect->frame);
 		break;
 	case SCH_EFFECT_COMMIT:
-		cell_store_commit(lead->options.store,
-				  g_steal_pointer(&effect->txn));
+		/* Leadership ends once no transaction is in flight, so no more
+		 * are begun then. */
+		if (!lead->successor)
+			cell_store_commit(lead->options.store,
+					  g_steal_pointer(&effect->txn));
 		break;
 	}
 }
@@ -644,6 +647,8 @@
 		      stats.rescheduled);
 	obs_count_set(metrics, "radishpier_step_commits_total", NULL,
 		      stats.commits);
+	obs_gauge(metrics, "radishpier_leader_late_ratio", NULL,
+		  lead->lag.late_share);
 	update_histogram(metrics, "radishpier_step_first_start_ms_bucket",
 			 stats.submit_to_start);
 	update_histogram(metrics, "radishpier_step_done_ms_bucket",
