sched: start no best-effort task beside a service that is over its target

Placing judges by the learned coefficients, which may be wrong; the measured latency said so all the while. Change: a measured latency over the target keeps best-effort tasks from a VM; a job without any run still starts, but elsewhere first. Test: place_test, test_best_effort_starts_nothing_beside_task_over_target, seen to fail without the change.

--- a/sched/interfere.c
+++ b/sched/interfere.c
@@ -312,6 +312,14 @@
 	}
 }
 
+static gboolean is_over_target(const struct sch *s, const struct sch_run *run)
+{
+	guint32 target_ms = run->task->instance->step->target_ms;
+
+	return target_ms && run->latency_ms > target_ms &&
+	       s->now_ms - run->measured_ms <= MEASUREMENT_MAX_AGE_MS;
+}
+
 static void compute_headroom(struct sch *s, struct sch_vm *vm)
 {
 	struct sch_headroom *headroom = &vm->headroom;
@@ -320,6 +328,7 @@
 	guint i;
 
 	headroom->valid = TRUE;
+	headroom->over_target = FALSE;
 	headroom->unused_cpus = (double)vm->capacity.cpu_milli / 1000;
 	if (!headroom->images)
 		headroom->images = g_array_new(
@@ -329,6 +338,8 @@
 		const struct sch_run *run = vm->runs->pdata[i];
 		const struct sch_step_instance *instance = run->task->instance;
 
+		if (is_over_target(s, run))
+			headroom->over_target = TRUE;
 		if (instance->step->fills)
 			add_use(uses, &n_uses, instance->image,
 				declared_cpus(run));
@@ -375,6 +386,7 @@
 		compute_headroom(s, vm);
 	demand->cpu = cpus / MAX(vm->headroom.unused_cpus, MIN_DIVISOR);
 	demand->interference = 0;
+	demand->over_target = vm->headroom.over_target;
 	for (i = 0; i < vm->headroom.images->len; i++) {
 		const struct sch_image_headroom *entry = &g_array_index(
 			vm->headroom.images, struct sch_image_headroom, i);
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -66,6 +66,8 @@
 	gboolean valid;
 	/** CPUs that no task is expected to use. */
 	double unused_cpus;
+	/** A latency-sensitive task on the VM is over its target. */
+	gboolean over_target;
 	guint n_best_effort;
 	/** Of struct sch_image_headroom, one for each latency-sensitive image.
 	 */
@@ -568,6 +570,8 @@
 	double interference;
 	/** CPU share that the task could have, 0 to 1. */
 	double cpu_share;
+	/** A latency-sensitive task on the VM is over its target. */
+	gboolean over_target;
 };
 
 void sch_interference_demand(struct sch *s, struct sch_vm *vm,
--- a/sched/place.c
+++ b/sched/place.c
@@ -75,6 +75,11 @@
  */
 #define MAX_HEADROOM_PART 0.4
 
+/** Best-effort tasks that start wherever they fit: for a VM on which a
+ * latency-sensitive task is over its target. Others do not start there: the
+ * coefficients may be wrong, and a new task works at full share at first. */
+#define OVER_TARGET_PENALTY 10.0
+
 /**
  * While a job has no runs, its best-effort tasks wait up to this long after
  * their step became ready for a VM where they have enough CPU and interfere
@@ -219,8 +224,11 @@
 		return TRUE;
 	sch_interference_demand(s, vm, instance, &demand);
 	*score += demand.interference + CPU_WEIGHT * demand.cpu;
+	if (demand.over_target)
+		*score += OVER_TARGET_PENALTY;
 	return demand.cpu_share >= min_share &&
-	       (!min_share || demand.interference <= MAX_HEADROOM_PART);
+	       (!min_share || (!demand.over_target &&
+			       demand.interference <= MAX_HEADROOM_PART));
 }
 
 /*
--- a/sched/place_test.c
+++ b/sched/place_test.c
@@ -358,6 +358,39 @@
 }
 END_TEST
 
+/*
+ * Guards against best-effort tasks that start beside a latency-sensitive task
+ * that is over its target, as their image is believed to be harmless: each
+ * works at full share until the agent throttles it.
+ */
+START_TEST(test_best_effort_starts_nothing_beside_task_over_target)
+{
+	static const struct row over[] = {
+		{ "w.0.0.0", 1, RP__RUN_END_KIND__RUN_END_NONE, 0, 100, 70 },
+	};
+	static const struct row below[] = {
+		{ "w.0.0.0", 1, RP__RUN_END_KIND__RUN_END_NONE, 0, 100, 15 },
+	};
+	struct leader l;
+	struct colo_table *colo;
+
+	setup(&l);
+	colo = l.s->colo;
+	add_vm(&l, "vm1");
+	start_web(&l, "/q/w");
+	colo_set_coefficient(colo, colo_image_id(colo, "web"),
+			     colo_image_id(colo, "fill"), 0);
+	report(&l, "vm1", 50, over, 1);
+	submit_best_effort(&l, "/q/f");
+	commit(&l);
+	ck_assert_uint_eq(task(&l, "f.0.0.0")->n_runs, 0);
+	report(&l, "vm1", 50, below, 1);
+	tick(&l, 100);
+	ck_assert_uint_eq(task(&l, "f.0.0.0")->n_runs, 1);
+	teardown(&l);
+}
+END_TEST
+
 /*
  * Guards against a mean CPU share that is not a number: a job that declares no
  * CPUs would lead to a division by 0.
@@ -530,6 +563,8 @@
 	tcase_add_test(tcase, test_latency_sensitive_images_share_a_full_pool);
 	tcase_add_test(tcase, test_best_effort_prefers_vm_without_interference);
 	tcase_add_test(tcase, test_best_effort_waits_for_low_interference);
+	tcase_add_test(tcase,
+		       test_best_effort_starts_nothing_beside_task_over_target);
 	tcase_add_test(tcase, test_best_effort_without_cpus);
 	tcase_add_test(tcase,
 		       test_single_low_latency_does_not_raise_coefficient);
