--- a/cell/cell.h
+++ b/cell/cell.h
@@ -81,7 +81,7 @@
 /** Updates the metrics given in the options. */
 void cell_entry_update_metrics(struct cell_entry *entry);
 
-/** Calls forwarded to the leader and not answered yet. */
+/** Calls that the leader, of this or another process, has not answered yet. */
 guint cell_entry_pending_calls(const struct cell_entry *entry);
 
 /** Sends a call to the worker; its outcome is reported with
--- a/cell/entry.c
+++ b/cell/entry.c
@@ -2,7 +2,8 @@
 
 /* The entry: forwards its callers' calls to the leader, or leads itself. */
 
-/** Maximum number of forwarded calls without an answer; more are refused. */
+/** Maximum number of calls without an answer at an entry that does not lead;
+ * more are refused. */
 #define MAX_PENDING_CALLS 2000
 
 /** Timeout of a call that names none. */
@@ -31,7 +32,7 @@
 #define STATUS_UNAVAILABLE 503
 #define STATUS_TIMEOUT 504
 
-/** A call for the leader of another process. */
+/** A call that no leader, of this or another process, has answered yet. */
 struct pending_call {
 	cell_reply_fn fn;
 	void *ctx;
@@ -191,8 +192,8 @@
 	g_free(key);
 }
 
-/* Takes no notice of the refusals of a leader that ends: the calls wait for the
- * next one. */
+/* Takes no notice of the replies of a leader that ends (leading is FALSE then):
+ * the calls wait for the next one. */
 static void on_local_reply(void *ctx, const struct Rp__StepReply *reply)
 {
 	g_autofree struct local_call *local = ctx;
--- a/cell/lead.c
+++ b/cell/lead.c
@@ -480,7 +480,7 @@
 				CANDIDATE_MAX_AGE_MS;
 }
 
-/* Returns the largest entry that could lead, or NULL. */
+/* Returns the entry with the most CPU that could lead, or NULL. */
 static const struct node *find_candidate(const struct cell_lead *lead,
 					 gint64 now_ms)
 {
--- a/cell/store.c
+++ b/cell/store.c
@@ -105,7 +105,8 @@
 	/** Since when the leader's key was absent at each read; 0 if it was
 	 * there at the last. */
 	gint64 absent_since_ms;
-	struct cell_candidacy candidacy_rank;
+	/** What decides how soon this process seeks to lead. */
+	struct cell_candidacy rank;
 	/** When a read of the leader's key was last answered. */
 	gint64 key_read_ms;
 	/** Time of the next lease renewal. */
@@ -303,7 +304,7 @@
 	if (!store->absent_since_ms)
 		store->absent_since_ms = store->now_ms;
 	campaign_ms = store->absent_since_ms +
-		      cell_candidacy_delay_ms(&store->candidacy_rank);
+		      cell_candidacy_delay_ms(&store->rank);
 	store->may_campaign = store->now_ms >= campaign_ms;
 	store->next_ms = MIN(store->next_ms, campaign_ms);
 }
@@ -348,7 +349,7 @@
 {
 	gint64 interval_ms = READ_KEY_MS;
 
-	if (store->candidacy_rank.handover == CELL_HANDOVER_TO_THIS)
+	if (store->rank.handover == CELL_HANDOVER_TO_THIS)
 		interval_ms = READ_KEY_SUCCESSOR_MS;
 	else if (leader_connected)
 		interval_ms = READ_KEY_CONNECTED_MS;
@@ -727,10 +728,9 @@
 			      const struct cell_candidacy *candidacy)
 {
 	gboolean named = candidacy->handover == CELL_HANDOVER_TO_THIS &&
-			 store->candidacy_rank.handover !=
-				 CELL_HANDOVER_TO_THIS;
+			 store->rank.handover != CELL_HANDOVER_TO_THIS;
 
-	store->candidacy_rank = *candidacy;
+	store->rank = *candidacy;
 	if (named)
 		store->next_ms = 0;
 }
