--- a/sched/session_test.c
+++ b/sched/session_test.c
@@ -26,6 +26,26 @@
 	guint32 agent_up_ms;
 };
 
+/* Prepares a report of the worker on vm1, in the current session; the messages
+ * belong to the caller. */
+static void init_report(struct leader *l, struct Rp__VmReport *body,
+			struct Rp__WorkerInfo *info,
+			struct Rp__Resources *capacity,
+			guint64 worker_started_ms)
+{
+	rp__vm_report__init(body);
+	rp__worker_info__init(info);
+	rp__resources__init(capacity);
+	capacity->cpu_milli = CPU_MILLI;
+	capacity->memory_bytes = 1 << 30;
+	info->worker_id = (char *)"vm1";
+	info->born_ms = worker_started_ms;
+	info->pool = (char *)"p";
+	info->capacity = capacity;
+	body->fence = sch_vm_get(l->s, "vm1")->fencing_token;
+	body->worker = info;
+}
+
 static void report_state(struct leader *l, const struct state_report *state)
 {
 	struct Rp__VmReport body;
@@ -35,17 +55,7 @@
 				.vm = "vm1",
 				.report = &body };
 
-	rp__vm_report__init(&body);
-	rp__worker_info__init(&info);
-	rp__resources__init(&capacity);
-	capacity.cpu_milli = CPU_MILLI;
-	capacity.memory_bytes = 1 << 30;
-	info.worker_id = (char *)"vm1";
-	info.born_ms = state->worker_started_ms;
-	info.pool = (char *)"p";
-	info.capacity = &capacity;
-	body.fence = sch_vm_get(l->s, "vm1")->fencing_token;
-	body.worker = &info;
+	init_report(l, &body, &info, &capacity, state->worker_started_ms);
 	body.clock_ms = state->clock_ms;
 	body.clock_age_ms = state->clock_age_ms;
 	body.lease_until_ms = state->lease_until_ms;
@@ -434,23 +444,13 @@
 				.vm = "vm1",
 				.report = &body };
 
-	rp__vm_report__init(&body);
-	rp__worker_info__init(&info);
-	rp__resources__init(&capacity);
+	init_report(l, &body, &info, &capacity, 50);
 	rp__run_name__init(&run);
 	rp__run_answer__init(&answer);
-	capacity.cpu_milli = CPU_MILLI;
-	capacity.memory_bytes = 1 << 30;
-	info.worker_id = (char *)"vm1";
-	info.born_ms = 50;
-	info.pool = (char *)"p";
-	info.capacity = &capacity;
 	run.task = (char *)name;
 	run.attempt = task(l, name)->attempts;
 	answer.run = &run;
 	answer.reason = (char *)reason;
-	body.fence = sch_vm_get(l->s, "vm1")->fencing_token;
-	body.worker = &info;
 	body.answers = answers;
 	body.n_answers = 1;
 	reduce(l, &ev);
