cell: reply on the connection on which a call came

Cause: the leader kept the name of the entry that had forwarded a call and its number there, and numbers begin at 1 in each process. The reply to a call of the ended process went to the caller of the next process whose call had the same number. Ruled out: a wrong reply of the scheduler. The leader's own entry answers 503 for the job at that time, since it is not stored. Change: connections are numbered, and a reply is sent only on the connection on which its call came, else dropped with a log line. An entry whose connection ends sends its calls again, so no caller loses a reply.

--- a/cell/cell_test.h
+++ b/cell/cell_test.h
@@ -14,6 +14,8 @@
  */
 
 #define ENTRIES 2
+static const char *const entry_names[ENTRIES] = { "entry0", "entry1" };
+
 #define TABLES_KEY "tables"
 #define RUN_MS 60
 
@@ -180,12 +182,11 @@
 static inline struct cell_entry *entry_new_sized(struct cell *cell, int index,
 						 guint cpu_milli)
 {
-	g_autofree char *name = g_strdup_printf("entry%d", index);
 	g_autofree char *listen = g_strdup_printf("127.0.0.1:%d", port_new());
 	struct cell_entry_options options = {
 		.base = cell->base,
 		.kv = &cell->kv.kv,
-		.name = name,
+		.name = entry_names[index],
 		.listen = listen,
 		.tables_key = TABLES_KEY,
 		.read_tables = read_tables,
--- a/cell/fake_kv_test.h
+++ b/cell/fake_kv_test.h
@@ -28,6 +28,8 @@
 	/** Ids of the leases that exist; leases don't expire. */
 	GHashTable *leases;
 	int delay_ms;
+	/** Added to the delay of answers to transactions. */
+	int txn_delay_ms;
 	/** Number of next transactions that are executed, but fail with
 	 * KV_ERROR_UNKNOWN as if their answer was lost. */
 	int lose_txns;
@@ -160,10 +162,12 @@
 	fake_free_call(call);
 }
 
-static inline struct fake_call *fake_call_new(struct fake_kv *fake, void *ctx)
+static inline struct fake_call *fake_call_new_delayed(struct fake_kv *fake,
+						      void *ctx, int delay_ms)
 {
 	struct fake_call *call = g_new0(struct fake_call, 1);
-	struct timeval delay = { .tv_usec = fake->delay_ms * 1000 };
+	struct timeval delay = { .tv_sec = delay_ms / 1000,
+				 .tv_usec = delay_ms % 1000 * 1000 };
 
 	call->fake = fake;
 	call->ctx = ctx;
@@ -174,6 +178,11 @@
 	return call;
 }
 
+static inline struct fake_call *fake_call_new(struct fake_kv *fake, void *ctx)
+{
+	return fake_call_new_delayed(fake, ctx, fake->delay_ms);
+}
+
 static inline gint64 fake_revision_of(struct fake_kv *fake, const char *key)
 {
 	const struct fake_item *item = g_hash_table_lookup(fake->items, key);
@@ -200,7 +209,8 @@
 			    kv_txn_fn fn, void *ctx)
 {
 	struct fake_kv *fake = (struct fake_kv *)kv;
-	struct fake_call *call = fake_call_new(fake, ctx);
+	struct fake_call *call = fake_call_new_delayed(
+		fake, ctx, fake->delay_ms + fake->txn_delay_ms);
 	guint i;
 
 	call->txn_fn = fn;
--- a/cell/lead.c
+++ b/cell/lead.c
@@ -56,6 +56,8 @@
 	/** Of an entry: as in its last heartbeat; 0 if it cannot lead. */
 	guint cpu_milli;
 	gint64 connected_ms;
+	/** Number of the last established connection, unique in the leader. */
+	guint64 connection;
 };
 
 /** A call that is not answered yet. */
@@ -63,8 +65,11 @@
 	/** For a caller of this process, else NULL. */
 	cell_reply_fn fn;
 	void *ctx;
-	/** Name of the entry that forwarded the call, and its id there. */
+	/** Name of the entry that forwarded the call, the number of the
+	 * connection on which it did, and its id there. The id means nothing on
+	 * another connection, which may be that of the entry's next process. */
 	char *node;
+	guint64 connection;
 	guint64 call_id;
 };
 
@@ -76,6 +81,8 @@
 	/** call_ref to struct pending_call. */
 	GHashTable *calls;
 	guint64 next_ref;
+	/** Number of the last connection that was established. */
+	guint64 last_connection;
 	gboolean has_tables;
 	/** struct sch_effect to be executed. */
 	GArray *effects;
@@ -121,30 +128,41 @@
 	g_free(call);
 }
 
+/* Sends the reply on the connection on which the call came. If that has ended,
+ * the entry sends the call again on the next one, or its process has ended. */
+static void send_reply(struct cell_lead *lead, const struct pending_call *call,
+		       const struct Rp__StepReply *reply)
+{
+	struct node *node = g_hash_table_lookup(lead->nodes, call->node);
+	struct Rp__Frame *frame;
+
+	if (!node || !node->connected || node->connection != call->connection) {
+		g_info("reply %u to call %" G_GUINT64_FORMAT
+		       " of %s dropped: its connection has ended",
+		       reply->status, call->call_id, call->node);
+		return;
+	}
+	frame = wire_frame_new(RP__FRAME__BODY_STEP_REPLY);
+	frame->step_reply->call_id = call->call_id;
+	frame->step_reply->status = reply->status;
+	frame->step_reply->state = reply->state;
+	frame->step_reply->waiting = reply->waiting;
+	frame->step_reply->retry_after_s = reply->retry_after_s;
+	cell_conn_send(node->conn, frame);
+	wire_frame_free(frame);
+}
+
 static void answer_call(struct cell_lead *lead, guint64 ref,
 			const struct Rp__StepReply *reply)
 {
 	struct pending_call *call = g_hash_table_lookup(lead->calls, &ref);
-	struct node *node;
-	struct Rp__Frame *frame;
 
 	if (!call)
 		return;
-	if (call->fn) {
+	if (call->fn)
 		call->fn(call->ctx, reply);
-	} else {
-		node = g_hash_table_lookup(lead->nodes, call->node);
-		if (node && node->connected) {
-			frame = wire_frame_new(RP__FRAME__BODY_STEP_REPLY);
-			frame->step_reply->call_id = call->call_id;
-			frame->step_reply->status = reply->status;
-			frame->step_reply->state = reply->state;
-			frame->step_reply->waiting = reply->waiting;
-			frame->step_reply->retry_after_s = reply->retry_after_s;
-			cell_conn_send(node->conn, frame);
-			wire_frame_free(frame);
-		}
-	}
+	else
+		send_reply(lead, call, reply);
 	g_hash_table_remove(lead->calls, &ref);
 }
 
@@ -217,6 +235,7 @@
 				.vm = node->name };
 
 	node->connected = TRUE;
+	node->connection = ++node->lead->last_connection;
 	node->connected_ms = net_now_ms();
 	node->cpu_milli = 0;
 	node->heartbeat_ms = 0;
@@ -299,6 +318,7 @@
 	case RP__FRAME__BODY_STEP_CALL:
 		pending = g_new0(struct pending_call, 1);
 		pending->node = g_strdup(node->name);
+		pending->connection = node->connection;
 		pending->call_id = frame->step_call->call_id;
 		dispatch_call(node->lead, frame->step_call, pending);
 		break;
