cell: begin the ids of calls at a random number in each process

Cause: entries restart then, while a leader of an earlier version may lead. It sends a reply by the entry's name and the call's id, and ids began at 1 in each process, so a caller of the next process got the reply to a call of the ended one. Change: the ids of a process begin at a random multiple of 2^32. An upgrade was not played.

--- a/cell/entry.c
+++ b/cell/entry.c
@@ -597,7 +597,9 @@
 	entry->store = cell_store_new(&store_options);
 	update_candidacy(entry);
 	entry->pending_calls = pending_calls_new();
-	entry->next_call = 1;
+	/* Leaders of earlier versions send a reply by the entry's name and the
+	 * call's id alone, so two processes of a VM must not use one id. */
+	entry->next_call = ((guint64)g_random_int() << 32) + 1;
 	entry->tick = event_new(options->base, -1, EV_PERSIST, on_tick, entry);
 	event_add(entry->tick, &interval);
 	return entry;
