sched: answer no call by tables of unknown age

Cause: a leader refuses calls when its leadership was confirmed too long ago, but it did not know how old its tables were. Its watch of them may hang while other calls are answered. Change: an adapter of the store tells up to when a watch has reported all changes (kv_ops.watch_current_ms). The leader passes that on to the scheduler, which routes no call by tables that were last current more than 1.9 s ago, below the 2 s within which new ones have to be in force: 503 with Retry-After, which is true as nothing has run. What it knows of a job's state is still told. Before: sched_test (test_no_answer_by_old_tables) and cell_test (test_tables_of_unknown_age) failed in 1 of 1, with 404 instead of 503. After: pass; model_test, session_test, place_test and kv_test pass as before.

--- a/bench/steps.c
+++ b/bench/steps.c
@@ -524,6 +524,8 @@
 	if (m->now_ms % CONFIRMATION_MS == 0) {
 		confirmed.confirmed_ms = m->now_ms;
 		leader_reduce(m, &confirmed);
+		confirmed.kind = SCH_EVENT_TABLES_CONFIRMED;
+		leader_reduce(m, &confirmed);
 	}
 	if (m->now_ms % (2 * STEPS_TICK_MS) == 0)
 		leader_reduce(m, &tick);
--- a/cell/cell_test.c
+++ b/cell/cell_test.c
@@ -5,6 +5,9 @@
 #include "cell_test.h"
 #include "tests/fixture.h"
 
+/** Time within which new tables have to be in force. */
+#define TABLES_IN_FORCE_MS 2000
+
 /* Guards against calls that fail at an entry that does not lead, and against a
  * job that runs twice when it is submitted at both entries. */
 START_TEST(test_job_through_either_entry)
@@ -364,6 +367,36 @@
 }
 END_TEST
 
+/* Guards against a leader that answers by old tables, for example with 404 for
+ * a route that was added, since it hears nothing of their changes while it is
+ * in contact with the store. */
+START_TEST(test_tables_of_unknown_age)
+{
+	g_autoptr(GBytes) tables = g_bytes_new_static("bc", 2);
+	struct cell cell;
+
+	setup(&cell);
+	wait_ready(&cell, 0);
+	wait_ready(&cell, 1);
+	ck_assert_uint_eq(submit(&cell, 0, "/c/a1"), 404);
+	ck_assert_uint_eq(submit(&cell, 0, "/b/a1"), 200);
+	cell.kv.watches_silent_ms = net_now_ms();
+	fake_put(&cell.kv, TABLES_KEY, tables, 0);
+	run_loop_ms(&cell, TABLES_IN_FORCE_MS);
+	ck_assert_uint_eq(submit(&cell, 0, "/c/a2"), 503);
+	ck_assert_uint_eq(submit(&cell, 1, "/c/a2"), 503);
+	ck_assert_uint_eq(make_call(&cell, 0, RP__STEP_VERB__STEP_VERB_STATE,
+				    "/b/a1", NULL),
+			  200);
+	cell.kv.watches_silent_ms = 0;
+	fake_put(&cell.kv, TABLES_KEY, tables, 0);
+	run_loop_ms(&cell, 100);
+	ck_assert_uint_eq(submit(&cell, 0, "/c/a2"), 200);
+	wait_state(&cell, 1, "/c/a2", RP__JOB_STATE__JOB_STATE_DONE);
+	teardown(&cell);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("cell");
@@ -383,6 +416,7 @@
 	tcase_add_test(tcase, test_registered_address_changes);
 	tcase_add_test(tcase, test_malformed_frames);
 	tcase_add_test(tcase, test_given_up_start_is_never_sent);
+	tcase_add_test(tcase, test_tables_of_unknown_age);
 	/* Seconds. */
 	tcase_set_timeout(tcase, 60);
 	suite_add_tcase(suite, tcase);
--- a/cell/cell_test.h
+++ b/cell/cell_test.h
@@ -57,25 +57,31 @@
 	guint jobs_done;
 };
 
+/* Reads tables: a letter for the path of each route. */
 static inline GPtrArray *read_tables(void *ctx G_GNUC_UNUSED, GBytes *document,
 				     GError **error)
 {
+	gsize len;
+	const char *letters = g_bytes_get_data(document, &len);
 	GPtrArray *queues;
-	struct sch_queue *queue;
+	gsize i;
 
-	if (g_bytes_get_size(document) == 0) {
+	if (!len) {
 		g_set_error(error, KV_ERROR, KV_ERROR_PROTOCOL, "empty");
 		return NULL;
 	}
 	queues = g_ptr_array_new();
-	queue = sch_queue_new();
-	queue->name = g_strdup("batch");
-	queue->host = g_strdup("h");
-	queue->path_prefix = g_strdup("/b/");
-	queue->pool = g_strdup("pool");
-	queue->max_attempts = 3;
-	queue->slack_factor = 2;
-	g_ptr_array_add(queues, queue);
+	for (i = 0; i < len; i++) {
+		struct sch_queue *queue = sch_queue_new();
+
+		queue->name = g_strdup_printf("queue-%c", letters[i]);
+		queue->host = g_strdup("h");
+		queue->path_prefix = g_strdup_printf("/%c/", letters[i]);
+		queue->pool = g_strdup("pool");
+		queue->max_attempts = 3;
+		queue->slack_factor = 2;
+		g_ptr_array_add(queues, queue);
+	}
 	return queues;
 }
 
@@ -224,7 +230,7 @@
 static inline void setup(struct cell *cell)
 {
 	g_autofree char *listen = g_strdup_printf("127.0.0.1:%d", port_new());
-	g_autoptr(GBytes) tables = g_bytes_new_static("t", 1);
+	g_autoptr(GBytes) tables = g_bytes_new_static("b", 1);
 	struct cell_agent_options options = {
 		.name = "vm1",
 		.listen = listen,
--- a/cell/fake_kv_test.h
+++ b/cell/fake_kv_test.h
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "../kv/kv.h"
+#include "../net/net.h"
 
 /*
  * In-memory key-value store for one event loop. Calls are executed at once and
@@ -36,6 +37,9 @@
 	/** Transactions are not executed, and each call fails with
 	 * KV_ERROR_UNKNOWN as if it got no answer. */
 	gboolean down;
+	/** Since this time of the boot clock watches report no changes; 0: they
+	 * do. */
+	gint64 watches_silent_ms;
 	/** struct kv_watch. */
 	GQueue watches;
 	/** struct fake_call in flight. */
@@ -102,7 +106,8 @@
 		fake_pair_new(key, g_hash_table_lookup(fake->items, key));
 	GList *link;
 
-	for (link = fake->watches.head; link; link = link->next) {
+	for (link = fake->watches.head; link && !fake->watches_silent_ms;
+	     link = link->next) {
 		struct kv_watch *watch = link->data;
 
 		if (g_str_has_prefix(key, watch->prefix))
@@ -327,6 +332,15 @@
 	g_free(watch);
 }
 
+static inline gint64
+fake_watch_current_ms(const struct kv *kv,
+		      const struct kv_watch *watch G_GNUC_UNUSED)
+{
+	const struct fake_kv *fake = (const struct fake_kv *)kv;
+
+	return fake->watches_silent_ms ? fake->watches_silent_ms : net_now_ms();
+}
+
 static inline const struct kv_calls *fake_calls(struct kv *kv)
 {
 	return &((struct fake_kv *)kv)->calls;
@@ -342,6 +356,7 @@
 		.lease_revoke = fake_lease_revoke,
 		.watch = fake_watch,
 		.watch_cancel = fake_watch_cancel,
+		.watch_current_ms = fake_watch_current_ms,
 		.calls = fake_calls,
 	};
 
--- a/cell/internal.h
+++ b/cell/internal.h
@@ -232,6 +232,9 @@
 /** Writes txn, which it takes over, on the condition that this process still
  * leads; one transaction at a time. */
 void cell_store_commit(struct cell_store *store, struct kv_txn *txn);
+/** Time of the boot clock up to which all changes of the configuration tables
+ * have been passed to on_tables; 0 if they were not read yet. */
+gint64 cell_store_tables_current_ms(const struct cell_store *store);
 /** Removes the address of a process from the store. */
 void cell_store_remove_node(struct cell_store *store, const char *name);
 /** Ends leadership at once, since a leader elected later has connected. */
--- a/cell/lead.c
+++ b/cell/lead.c
@@ -84,6 +84,8 @@
 	/** Number of the last connection that was established. */
 	guint64 last_connection;
 	gboolean has_tables;
+	/** Up to when the tables were last reported to be current. */
+	gint64 tables_current_ms;
 	/** struct sch_effect to be executed. */
 	GArray *effects;
 	/** Effects are being executed; those of nested events are appended. */
@@ -406,12 +408,25 @@
 			   key, len);
 }
 
+/* Reports up to when the tables are current, if that has changed. */
+static void confirm_tables(struct cell_lead *lead)
+{
+	struct sch_event ev = { .kind = SCH_EVENT_TABLES_CONFIRMED };
+
+	ev.confirmed_ms = cell_store_tables_current_ms(lead->options.store);
+	if (ev.confirmed_ms <= lead->tables_current_ms)
+		return;
+	lead->tables_current_ms = ev.confirmed_ms;
+	reduce(lead, &ev);
+}
+
 void cell_lead_set_tables(struct cell_lead *lead, GPtrArray *queues)
 {
 	struct sch_event ev = { .kind = SCH_EVENT_TABLES, .queues = queues };
 
 	lead->has_tables = TRUE;
 	reduce(lead, &ev);
+	confirm_tables(lead);
 }
 
 gboolean cell_lead_has_tables(const struct cell_lead *lead)
@@ -604,6 +619,7 @@
 		cell_store_remove_node(lead->options.store, node->name);
 		g_hash_table_iter_remove(&iter);
 	}
+	confirm_tables(lead);
 	reduce(lead, &ev);
 }
 
@@ -669,6 +685,9 @@
 		      stats.commits);
 	obs_gauge(metrics, "radishpier_leader_late_ratio", NULL,
 		  lead->lag.late_share);
+	if (lead->tables_current_ms)
+		obs_gauge(metrics, "radishpier_tables_age_ms", NULL,
+			  (double)(net_now_ms() - lead->tables_current_ms));
 	update_histogram(metrics, "radishpier_step_first_start_ms_bucket",
 			 stats.submit_to_start);
 	update_histogram(metrics, "radishpier_step_done_ms_bucket",
--- a/cell/store.c
+++ b/cell/store.c
@@ -68,7 +68,9 @@
 	gboolean read;
 	/** The keys are not read before this time. */
 	gint64 next_ms;
-	gint64 revision;
+	/** All changes up to this time of the boot clock were delivered, if no
+	 * later time is known to the watch; 0 before the first read. */
+	gint64 current_ms;
 };
 
 struct cell_store {
@@ -170,6 +172,7 @@
 		watch->read = FALSE;
 		watch->reading = FALSE;
 		watch->next_ms = 0;
+		watch->current_ms = 0;
 	}
 }
 
@@ -621,12 +624,24 @@
 		return;
 	}
 	watch->read = TRUE;
+	watch->current_ms = ctx->sent_ms;
 	for (i = 0; i < pairs->len; i++)
 		deliver_change(watch, pairs->pdata[i]);
 	watch->watch = store->kv->ops->watch(store->kv, prefix, revision,
 					     on_watch, watch);
 }
 
+gint64 cell_store_tables_current_ms(const struct cell_store *store)
+{
+	const struct store_watch *watch = &store->watches[WATCH_TABLES];
+	gint64 current_ms = 0;
+
+	if (watch->watch)
+		current_ms = store->kv->ops->watch_current_ms(store->kv,
+							      watch->watch);
+	return MAX(current_ms, watch->current_ms);
+}
+
 /* Reads the watched keys, if due; the watch follows the read. */
 static void read_watched_keys(struct store_watch *watch)
 {
--- a/kv/etcd.h
+++ b/kv/etcd.h
@@ -48,6 +48,8 @@
 
 struct kv_watch *kv_etcd_watch(struct kv *kv, const char *prefix,
 			       gint64 revision, kv_watch_fn fn, void *ctx);
+gint64 kv_etcd_watch_current_ms(const struct kv *kv,
+				const struct kv_watch *watch);
 void kv_etcd_watch_cancel(struct kv *kv, struct kv_watch *watch);
 void kv_etcd_watch_free(struct kv_watch *watch);
 
--- a/kv/kv.h
+++ b/kv/kv.h
@@ -162,6 +162,10 @@
 				  gint64 revision, kv_watch_fn fn, void *ctx);
 	/** Frees the watch; its fn is not called any more. */
 	void (*watch_cancel)(struct kv *kv, struct kv_watch *watch);
+	/** Time of the boot clock up to which the watch has reported all
+	 * changes; 0 if the adapter does not know. */
+	gint64 (*watch_current_ms)(const struct kv *kv,
+				   const struct kv_watch *watch);
 	const struct kv_calls *(*calls)(struct kv *kv);
 	/** Drops pending calls without calling fn; not allowed within fn. */
 	void (*free)(struct kv *kv);
--- a/kv/kv_etcd.c
+++ b/kv/kv_etcd.c
@@ -507,6 +507,7 @@
 	.lease_revoke = etcd_lease_revoke,
 	.watch = kv_etcd_watch,
 	.watch_cancel = kv_etcd_watch_cancel,
+	.watch_current_ms = kv_etcd_watch_current_ms,
 	.calls = etcd_calls,
 	.free = etcd_free,
 };
--- a/kv/kv_watch.c
+++ b/kv/kv_watch.c
@@ -243,6 +243,13 @@
 	return watch;
 }
 
+/* The stream carries nothing while there are no changes. */
+gint64 kv_etcd_watch_current_ms(const struct kv *kv G_GNUC_UNUSED,
+				const struct kv_watch *watch G_GNUC_UNUSED)
+{
+	return 0;
+}
+
 void kv_etcd_watch_cancel(struct kv *kv G_GNUC_UNUSED, struct kv_watch *watch)
 {
 	watch->cancelled = TRUE;
--- a/sched/call.c
+++ b/sched/call.c
@@ -17,13 +17,15 @@
 
 #define MAX_ID_BYTES 64
 
-/**
- * Maximum age of the last leadership confirmation: with an older one, another
- * leader may have accepted jobs and tables that this one does not know. Below
- * the 2 s within which new tables have to be in force.
- */
+/** Maximum age of the last leadership confirmation: with an older one, another
+ * leader may have accepted jobs that this one does not know. */
 #define CONFIRMATION_MAX_AGE_MS 1300
 
+/** Time since the tables were last known to be current after which a call is
+ * not routed by them. Below the 2 s within which new tables have to be in
+ * force, by the time in which a call reaches the leader. */
+#define TABLES_MAX_AGE_MS 1900
+
 /** Calls are answered this long before their timeout, so that the answer
  * reaches the caller in time. */
 #define ANSWER_MARGIN_MS 150
@@ -203,13 +205,32 @@
 		  waiting, 0);
 }
 
+/* TRUE if the tables are recent enough to route calls. */
+static gboolean are_tables_current(struct sch *s)
+{
+	gint64 age_ms = s->now_ms - s->tables_confirmed_ms;
+	gboolean outdated = age_ms > TABLES_MAX_AGE_MS;
+
+	if (s->queues && outdated != s->tables_outdated) {
+		s->tables_outdated = outdated;
+		g_message(outdated ? "calls are refused: the tables were last "
+				     "current %" G_GINT64_FORMAT " ms ago"
+				   : "calls are routed again: the tables were "
+				     "last current %" G_GINT64_FORMAT " ms ago",
+			  age_ms);
+	}
+	return !outdated;
+}
+
 void sch_call(struct sch *s, guint64 call_ref, const struct Rp__StepCall *call)
 {
 	const char *id = "";
 	struct sch_queue *queue;
 
-	/* A leader without contact to the store may have been replaced. */
-	if (s->now_ms > s->confirmed_ms + CONFIRMATION_MAX_AGE_MS) {
+	/* A leader without contact to the store may have been replaced, and a
+	 * route may have been added or removed. */
+	if (s->now_ms > s->confirmed_ms + CONFIRMATION_MAX_AGE_MS ||
+	    !are_tables_current(s)) {
 		if (call->verb == RP__STEP_VERB__STEP_VERB_STATE)
 			reply_known_state(s, call_ref, call);
 		else
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -354,6 +354,10 @@
 	gint64 confirmed_ms;
 	/** NULL until the tables are read. */
 	GPtrArray *queues;
+	/** No change of the tables before this time is missing. */
+	gint64 tables_confirmed_ms;
+	/** Calls are refused since the tables may be too old. */
+	gboolean tables_outdated;
 	/** Name to struct sch_queue of queues. */
 	GHashTable *queue_names;
 	/** id to struct sch_job; owned. */
--- a/sched/leader_test.h
+++ b/sched/leader_test.h
@@ -55,7 +55,8 @@
 	}
 }
 
-static void confirm_leadership(struct leader *l)
+/* The store confirms the leadership. */
+static void confirm_only_leadership(struct leader *l)
 {
 	struct sch_event ev = { .kind = SCH_EVENT_LEADERSHIP_CONFIRMED,
 				.confirmed_ms = l->now_ms };
@@ -63,6 +64,16 @@
 	reduce(l, &ev);
 }
 
+/* The store confirms the leadership and that the tables are current. */
+static void confirm_leadership(struct leader *l)
+{
+	struct sch_event ev = { .kind = SCH_EVENT_TABLES_CONFIRMED,
+				.confirmed_ms = l->now_ms };
+
+	confirm_only_leadership(l);
+	reduce(l, &ev);
+}
+
 static void tick(struct leader *l, gint64 ms)
 {
 	struct sch_event ev = { .kind = SCH_EVENT_TICK };
--- a/sched/model_test.c
+++ b/sched/model_test.c
@@ -327,11 +327,21 @@
 		agent_reduce(m, vm, &ev);
 }
 
+/* The store confirms, as of this time, the leadership and the tables. */
+static void confirm(struct model *m, guint leader, gint64 confirmed_ms)
+{
+	struct sch_event ev = { .kind = SCH_EVENT_LEADERSHIP_CONFIRMED,
+				.confirmed_ms = confirmed_ms };
+
+	leader_reduce(m, leader, &ev);
+	ev.kind = SCH_EVENT_TABLES_CONFIRMED;
+	leader_reduce(m, leader, &ev);
+}
+
 static void step_leader(struct model *m, guint leader)
 {
 	struct model_leader *l = &m->leaders[leader];
 	struct sch_event ev = { .kind = SCH_EVENT_TICK };
-	struct sch_event confirmed = { .kind = SCH_EVENT_LEADERSHIP_CONFIRMED };
 	int vm;
 
 	if (l->sch && m->now_ms >= l->end_ms)
@@ -342,17 +352,17 @@
 	if (m->now_ms < l->frozen_until_ms)
 		return;
 	if (l->confirm_sent_ms) {
-		confirmed.confirmed_ms = l->confirm_sent_ms;
+		gint64 sent_ms = l->confirm_sent_ms;
+
 		l->confirm_sent_ms = 0;
-		leader_reduce(m, leader, &confirmed);
+		confirm(m, leader, sent_ms);
 	}
 	for (vm = 0; vm < VMS; vm++)
 		if (!l->links[vm] && m->now_ms >= l->reconnect_ms[vm])
 			connect_vm(m, leader, vm);
 	if (leader == m->current && m->now_ms >= l->next_confirm_ms) {
 		l->next_confirm_ms = m->now_ms + 500;
-		confirmed.confirmed_ms = m->now_ms;
-		leader_reduce(m, leader, &confirmed);
+		confirm(m, leader, m->now_ms);
 	}
 	if (m->now_ms % 20 == 0)
 		leader_reduce(m, leader, &ev);
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -161,6 +161,10 @@
 	case SCH_EVENT_TABLES:
 		replace_tables(s, ev->queues);
 		break;
+	case SCH_EVENT_TABLES_CONFIRMED:
+		s->tables_confirmed_ms = MAX(s->tables_confirmed_ms,
+					     ev->confirmed_ms);
+		break;
 	case SCH_EVENT_CALL:
 		sch_call(s, ev->call_ref, ev->call);
 		break;
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -81,6 +81,8 @@
 	SCH_EVENT_LEADERSHIP_CONFIRMED,
 	/** queues is the complete list; the reducer takes ownership. */
 	SCH_EVENT_TABLES,
+	/** No change of the tables before confirmed_ms is missing. */
+	SCH_EVENT_TABLES_CONFIRMED,
 	/** call is owned by the I/O layer; the reply names call_ref. */
 	SCH_EVENT_CALL,
 	/** A connection to the agent of vm was made. */
--- a/sched/sched_test.c
+++ b/sched/sched_test.c
@@ -369,6 +369,46 @@
 }
 END_TEST
 
+/* Guards against a definite answer by tables that may have been replaced: 404
+ * for a route that was added, or a job that runs by a route that was removed.
+ */
+START_TEST(test_no_answer_by_old_tables)
+{
+	static const Rp__StepVerb verbs[] = {
+		RP__STEP_VERB__STEP_VERB_SUBMIT,
+		RP__STEP_VERB__STEP_VERB_STATE,
+		RP__STEP_VERB__STEP_VERB_CANCEL,
+		RP__STEP_VERB__STEP_VERB_COUNT,
+	};
+	struct leader l;
+	size_t i;
+
+	setup(&l);
+	submit_best_effort(&l, "/q/a");
+	commit(&l);
+	ck_assert_uint_eq(l.status, 200);
+	call(&l, RP__STEP_VERB__STEP_VERB_STATE, "/none/a", NULL);
+	ck_assert_uint_eq(l.status, 404);
+	l.now_ms += 2000;
+	confirm_only_leadership(&l);
+	for (i = 0; i < G_N_ELEMENTS(verbs); i++) {
+		call(&l, verbs[i], "/none/b", NULL);
+		ck_assert_uint_eq(l.status, 503);
+		call(&l, verbs[i], "/q/b", NULL);
+		ck_assert_uint_eq(l.status, 503);
+	}
+	/* What is known of a job stays true. */
+	call(&l, RP__STEP_VERB__STEP_VERB_STATE, "/q/a", NULL);
+	ck_assert_uint_eq(l.status, 200);
+	confirm_leadership(&l);
+	call(&l, RP__STEP_VERB__STEP_VERB_STATE, "/none/b", NULL);
+	ck_assert_uint_eq(l.status, 404);
+	call(&l, RP__STEP_VERB__STEP_VERB_STATE, "/q/b", NULL);
+	ck_assert_uint_eq(l.status, 410);
+	teardown(&l);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("sched");
@@ -379,6 +419,7 @@
 	tcase_add_test(tcase, test_recorded_end_counts_once);
 	tcase_add_test(tcase, test_failure_before_tables);
 	tcase_add_test(tcase, test_stale_leader_refuses);
+	tcase_add_test(tcase, test_no_answer_by_old_tables);
 	tcase_add_test(tcase, test_only_unsent_jobs_are_refused);
 	tcase_add_test(tcase, test_ordered_job_is_queued);
 	tcase_add_test(tcase, test_cancel);
