cell: name the following entry in reply_test

Cause: clang-tidy (make lint) cannot know that leading_entry() is 0 or 1 and reports an uninitialised argument. Change: following_entry() checks that an entry leads. Before: lint fails in reply_test.c. After: clang-tidy on that file reports nothing; reply_test passes, 3 tests.

--- a/cell/cell_test.h
+++ b/cell/cell_test.h
@@ -385,6 +385,15 @@
 	return value[strlen("entry")] - '0';
 }
 
+/* Number of an entry that does not lead, while another one does. */
+static inline int following_entry(const struct cell *cell)
+{
+	int leader = leading_entry(cell);
+
+	ck_assert(leader == 0 || leader == 1);
+	return 1 - leader;
+}
+
 /* Returns the registered address of a process, to be freed. */
 static inline char *address_of(const struct cell *cell, const char *name)
 {
--- a/cell/reply_test.c
+++ b/cell/reply_test.c
@@ -18,14 +18,12 @@
 START_TEST(test_reply_to_an_ended_process)
 {
 	struct cell cell;
-	int leader;
 	int other;
 
 	setup(&cell);
 	wait_ready(&cell, 0);
 	wait_ready(&cell, 1);
-	leader = leading_entry(&cell);
-	other = 1 - leader;
+	other = following_entry(&cell);
 	cell.kv.txn_delay_ms = TXN_HELD_MS;
 	begin_submit(&cell, other, "/b/r1");
 	run_loop_ms(&cell, 50);
@@ -33,12 +31,12 @@
 	cell.entries[other] = entry_new(&cell, other);
 	wait_ready(&cell, other);
 	/* The first transaction is still without an answer. */
-	ck_assert_uint_eq(make_call(&cell, leader,
+	ck_assert_uint_eq(make_call(&cell, 1 - other,
 				    RP__STEP_VERB__STEP_VERB_STATE, "/b/r1",
 				    NULL),
 			  503);
 	ck_assert_uint_eq(submit(&cell, other, "/b/r2"), 200);
-	ck_assert_uint_eq(make_call(&cell, leader,
+	ck_assert_uint_eq(make_call(&cell, 1 - other,
 				    RP__STEP_VERB__STEP_VERB_STATE, "/b/r2",
 				    NULL),
 			  200);
@@ -61,7 +59,7 @@
 	setup(&cell);
 	wait_ready(&cell, 0);
 	wait_ready(&cell, 1);
-	other = 1 - leading_entry(&cell);
+	other = following_entry(&cell);
 	address = address_of(&cell, entry_names[other]);
 	cell.kv.txn_delay_ms = TXN_HELD_MS;
 	begin_submit(&cell, other, "/b/r3");
