sched: do not refuse the repeat of an accepted job

Change: a submission of a job that the leader knows is answered as always: 200 if it is stored, else once it is. Of an unknown job it still says 503; another leader may have accepted it, which cannot be known here. Before: sched_test, test_repeat_is_not_refused, failed in 1 of 1 (503 for a stored job).

--- a/sched/call.c
+++ b/sched/call.c
@@ -89,6 +89,16 @@
 	return len > 0 && len <= MAX_ID_BYTES;
 }
 
+/* Answers a repeated submission: the job is or will be stored. */
+static void submit_again(struct sch *s, guint64 call_ref,
+			 const struct Rp__StepCall *call, struct sch_job *job)
+{
+	if (job->stored)
+		sch_reply(s, call_ref, STATUS_OK, job->durable_state, 0, 0);
+	else
+		add_pending_call(s, job, call_ref, call);
+}
+
 static void submit(struct sch *s, guint64 call_ref,
 		   const struct Rp__StepCall *call, struct sch_queue *queue,
 		   const char *id)
@@ -97,12 +107,8 @@
 	const char *problem;
 	struct Rp__StepJob *spec;
 
-	if (job && job->stored) {
-		sch_reply(s, call_ref, STATUS_OK, job->durable_state, 0, 0);
-		return;
-	}
 	if (job) {
-		add_pending_call(s, job, call_ref, call);
+		submit_again(s, call_ref, call, job);
 		return;
 	}
 	problem = is_job_id(id) ? sch_job_check(call->job) : "invalid id";
@@ -152,17 +158,21 @@
 }
 
 /*
- * Without a recent confirmation: the state of a known job may be outdated but
- * is valid, while an unknown job may have been accepted by another leader.
+ * Without a recent confirmation or current tables: the state of a known job may
+ * be outdated but is valid, and its submission must not be refused as if it had
+ * not been accepted. An unknown job may have been accepted by another leader.
  */
-static void reply_known_state(struct sch *s, guint64 call_ref,
-			      const struct Rp__StepCall *call)
+static void answer_known_job(struct sch *s, guint64 call_ref,
+			     const struct Rp__StepCall *call)
 {
 	const char *slash = strrchr(call->path, '/');
 	const char *id = slash ? slash + 1 : call->path;
+	struct sch_job *job = g_hash_table_lookup(s->jobs, id);
 
-	if (g_hash_table_contains(s->jobs, id))
+	if (job && call->verb == RP__STEP_VERB__STEP_VERB_STATE)
 		reply_state(s, call_ref, id);
+	else if (job && call->verb == RP__STEP_VERB__STEP_VERB_SUBMIT)
+		submit_again(s, call_ref, call, job);
 	else
 		sch_reply(s, call_ref, STATUS_UNAVAILABLE,
 			  RP__JOB_STATE__JOB_STATE_NONE, 0, 1);
@@ -211,7 +221,7 @@
 	gint64 age_ms = s->now_ms - s->tables_confirmed_ms;
 	gboolean outdated = age_ms > TABLES_MAX_AGE_MS;
 
-	if (s->queues && outdated != s->tables_outdated) {
+	if (outdated != s->tables_outdated) {
 		s->tables_outdated = outdated;
 		g_message(outdated ? "calls are refused: the tables were last "
 				     "current %" G_GINT64_FORMAT " ms ago"
@@ -229,18 +239,10 @@
 
 	/* A leader without contact to the store may have been replaced, and a
 	 * route may have been added or removed. */
-	if (s->now_ms > s->confirmed_ms + CONFIRMATION_MAX_AGE_MS ||
+	if (!s->queues ||
+	    s->now_ms > s->confirmed_ms + CONFIRMATION_MAX_AGE_MS ||
 	    !are_tables_current(s)) {
-		if (call->verb == RP__STEP_VERB__STEP_VERB_STATE)
-			reply_known_state(s, call_ref, call);
-		else
-			sch_reply(s, call_ref, STATUS_UNAVAILABLE,
-				  RP__JOB_STATE__JOB_STATE_NONE, 0, 1);
-		return;
-	}
-	if (!s->queues) {
-		sch_reply(s, call_ref, STATUS_UNAVAILABLE,
-			  RP__JOB_STATE__JOB_STATE_NONE, 0, 1);
+		answer_known_job(s, call_ref, call);
 		return;
 	}
 	queue = sch_queue_route(s, call->host, call->path, &id);
--- a/sched/sched_test.c
+++ b/sched/sched_test.c
@@ -409,6 +409,38 @@
 }
 END_TEST
 
+/* Guards against a caller who is told that its job was not accepted, when the
+ * answer to its first call was lost and the leader that stored the job, or the
+ * next one, has no recent confirmation or no tables. */
+START_TEST(test_repeat_is_not_refused)
+{
+	g_autoptr(GBytes) job = NULL;
+	struct leader l;
+	struct leader next;
+
+	setup(&l);
+	submit_best_effort(&l, "/q/a");
+	commit(&l);
+	ck_assert_uint_eq(l.status, 200);
+	job = sch_record_job(g_hash_table_lookup(l.s->jobs, "a"));
+	l.now_ms += 2000;
+	submit_best_effort(&l, "/q/a");
+	ck_assert_uint_eq(l.status, 200);
+	submit_best_effort(&l, "/q/b");
+	ck_assert_uint_eq(l.status, 503);
+	teardown(&l);
+	setup(&next);
+	g_ptr_array_unref(g_steal_pointer(&next.s->queues));
+	sch_load_job(next.s, "a", g_bytes_get_data(job, NULL),
+		     g_bytes_get_size(job));
+	submit_best_effort(&next, "/q/a");
+	ck_assert_uint_eq(next.status, 200);
+	submit_best_effort(&next, "/q/b");
+	ck_assert_uint_eq(next.status, 503);
+	teardown(&next);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("sched");
@@ -420,6 +452,7 @@
 	tcase_add_test(tcase, test_failure_before_tables);
 	tcase_add_test(tcase, test_stale_leader_refuses);
 	tcase_add_test(tcase, test_no_answer_by_old_tables);
+	tcase_add_test(tcase, test_repeat_is_not_refused);
 	tcase_add_test(tcase, test_only_unsent_jobs_are_refused);
 	tcase_add_test(tcase, test_ordered_job_is_queued);
 	tcase_add_test(tcase, test_cancel);
