bench: tell the scheduler of bench_steps that its tables are current

Cause: the harness passes tables at the election, but reported them as current only with the first confirmation, 0.5 s later. A real leader reports both at once (cell_lead_set_tables()). Change: the harness does the same. The bound is as it was.

--- a/bench/steps.c
+++ b/bench/steps.c
@@ -550,6 +550,8 @@
 		.retention_ms = 180000,
 	};
 	struct sch_event tables = { .kind = SCH_EVENT_TABLES };
+	struct sch_event confirmed = { .kind = SCH_EVENT_TABLES_CONFIRMED,
+				       .confirmed_ms = START_MS };
 	struct steps m = {
 		.options = options,
 		.result = result,
@@ -567,6 +569,7 @@
 	m.sch = sch_new(&sch_options, m.now_ms);
 	tables.queues = queues_new();
 	leader_reduce(&m, &tables);
+	leader_reduce(&m, &confirmed);
 	for (i = 0; i < options->vms; i++)
 		add_vm(&m, i);
 	for (i = 0; i < options->services; i++)
