sched: move the quarantine of workers to a file of its own

Faults of workers and their quarantine need only the fields of struct sch_vm, so they move to fault.c unchanged.

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -516,6 +516,8 @@
 /** Notes that more tasks may start on the VM than before. */
 void sch_vm_changed(struct sch *s, struct sch_vm *vm);
 gboolean sch_vm_has_label(const struct sch_vm *vm, const char *label);
+
+/* fault.c */
 /** Counts a worker fault that a run of job had; the run started at started_ms.
  */
 void sch_vm_fault(struct sch *s, struct sch_vm *vm, struct sch_job *job,
