runs: send no start without the leader's permission

A zone can be evacuated: after a bound, no worker there may be told to start a task. It is not enough that the leader orders no start there, since an order may be delayed in a connection, a paused process or a former leader's queue.

VmOrders has a time on the worker's clock up to which starts may be sent (starts_until_ms, in force with starts_limited) and says whether the zone is evacuated. The agent compares that time with the latest possible reading of the worker's clock before each start, also a repeated one. A start that waits keeps its position. In an evacuated zone a start that is not in flight becomes a stop with the reason "evacuated"; one without an answer only after later run lists show that it does not run, since what runs in the zone continues.

Orders without starts_limited are carried out as before. WorkerInfo has cold_remaining_ms, which the leader will use.

--- a/runs/hold.c
+++ b/runs/hold.c
@@ -137,6 +137,7 @@
 		r->next_renewal_ms = r->now_ms + RENEWAL_PAUSE_MS;
 		return;
 	}
+	r->lists_call = answer->call_id;
 	runs_orders_check_lists(r, answer, answer->call_id);
 	replace_running(r, answer);
 	if (new_ends || !r->lists_valid)
@@ -178,6 +179,7 @@
 	r->incarnation_verified = TRUE;
 	r->verified_ms = r->renewal_sent_ms;
 	r->answered_ms = r->now_ms;
+	runs_permission_read_clock(r, answer->clock_ms, r->renewal_sent_ms);
 	if (answer->clock_ms > r->clock_ms) {
 		r->clock_ms = answer->clock_ms;
 		r->clock_read_ms = r->now_ms;
--- a/runs/internal.h
+++ b/runs/internal.h
@@ -38,7 +38,8 @@
 	/** No call is sent before this time. */
 	gint64 next_ms;
 	/** Lists of lease renewals with a lower call id may have been read
-	 * before the stop, so they don't count. */
+	 * before the stop, or before an unanswered start, so they don't count.
+	 */
 	guint64 min_renewal_id;
 };
 
@@ -66,6 +67,22 @@
 	guint64 share_call;
 };
 
+/** What the leader permits while zones can be evacuated; see permit.c. */
+struct runs_permission {
+	/** Starts need a permission. FALSE without evacuations. */
+	gboolean limited;
+	/** The VM's zone is evacuated. */
+	gboolean evacuated;
+	/** Starts are permitted until then, worker's clock; 0 for none. */
+	gint64 until_ms;
+	/** A reading of the worker's clock minus the boot clock when it was
+	 * requested, the lowest of this incarnation. */
+	gint64 clock_offset_ms;
+	gboolean has_clock;
+	/** A start has waited for the permission since then; 0 for none. */
+	gint64 waiting_since_ms;
+};
+
 struct runs {
 	gint64 now_ms;
 	/** Current incarnation of the VM's worker; NULL if not known. */
@@ -77,6 +94,8 @@
 	gboolean leader_connected;
 	/** End of the lease granted by the leader, worker's clock. */
 	gint64 lease_until_ms;
+	/** Permission to start runs; see permit.c. */
+	struct runs_permission permission;
 	/** The leader has acknowledged end records up to this number. */
 	guint64 acked_through;
 	/** Last reading of the worker's clock, and when it was read. */
@@ -91,6 +110,8 @@
 	guint64 next_call;
 	/** Id of the lease renewal in flight; 0 for none. */
 	guint64 renewal_call;
+	/** Id of the renewal that the last run lists came with. */
+	guint64 lists_call;
 	gint64 renewal_sent_ms;
 	gint64 next_renewal_ms;
 	/** Failed lease renewals in a row. */
@@ -160,6 +181,19 @@
 void runs_orders_check_lists(struct runs *r, const struct runs_answer *answer,
 			     guint64 renewal_call);
 
+/* permit.c */
+/** Applies what the orders permit. */
+void runs_permission_apply(struct runs *r, const struct Rp__VmOrders *orders);
+/** Drops the permission of an earlier leader or session. */
+void runs_permission_reset(struct runs *r);
+/** Drops what is known of the clock of an earlier incarnation, too. */
+void runs_permission_reset_clock(struct runs *r);
+/** Evaluates a reading of the worker's clock that was requested at sent_ms. */
+void runs_permission_read_clock(struct runs *r, gint64 clock_ms,
+				gint64 sent_ms);
+/** TRUE if a start may be sent now. */
+gboolean runs_permission_allows_start(struct runs *r);
+
 /* hold.c */
 /** TRUE if the worker was recently seen to be the known incarnation, so that
  * starts and leases reach no other one. */
--- a/runs/orders.c
+++ b/runs/orders.c
@@ -121,11 +121,11 @@
 				      TRUE, NULL);
 		return;
 	}
-	if (r->worker->draining) {
+	if (r->worker->draining || r->permission.evacuated) {
 		/* An earlier agent process may have sent this start; a stop
 		 * ensures that the run never starts. */
 		order = add_order(r, start->run, RUNS_ORDER_STOP);
-		order->reason = "draining";
+		order->reason = r->worker->draining ? "draining" : "evacuated";
 		return;
 	}
 	order = add_order(r, start->run, RUNS_ORDER_START);
@@ -196,6 +196,28 @@
 	runs_call_send(r, call);
 }
 
+/* Turns a start into a stop of the same run. */
+static void undo_start(struct runs_order *order, const char *reason)
+{
+	order->state = RUNS_ORDER_STOP;
+	order->reason = reason;
+	order->unanswered_starts = 0;
+	order->next_ms = 0;
+}
+
+/* Withdraws a start if the VM's zone is evacuated. One without an answer may
+ * have taken effect, and what runs may continue, so run lists that were read
+ * later have to show first that it does not. */
+static void withdraw_if_evacuated(const struct runs *r,
+				  struct runs_order *order)
+{
+	if (!r->permission.evacuated || order->state != RUNS_ORDER_START ||
+	    (order->start_unanswered &&
+	     (!r->lists_valid || r->lists_call < order->min_renewal_id)))
+		return;
+	undo_start(order, "evacuated");
+}
+
 void runs_orders_send(struct runs *r)
 {
 	guint i;
@@ -207,6 +229,7 @@
 		if (order->call_id || order->state == RUNS_ORDER_CHECK_LISTS ||
 		    r->now_ms < order->next_ms)
 			continue;
+		withdraw_if_evacuated(r, order);
 		/*
 		 * Without a lease the worker would end the run at once, and a
 		 * worker that does not answer may have been replaced.
@@ -218,19 +241,13 @@
 			order->state = RUNS_ORDER_STOP;
 			order->reason = "draining";
 		}
+		if (order->state == RUNS_ORDER_START &&
+		    !runs_permission_allows_start(r))
+			continue;
 		send_order(r, order);
 	}
 }
 
-/* Turns a start into a stop of the same run. */
-static void undo_start(struct runs_order *order, const char *reason)
-{
-	order->state = RUNS_ORDER_STOP;
-	order->reason = reason;
-	order->unanswered_starts = 0;
-	order->next_ms = 0;
-}
-
 /* The order keeps the reason after the answer is freed. */
 static const char *intern_reason(const char *reason)
 {
@@ -258,6 +275,7 @@
 
 	if (answer->outcome == RUNS_NO_ANSWER) {
 		order->start_unanswered = TRUE;
+		order->min_renewal_id = r->next_call;
 		order->unanswered_starts++;
 		log_unanswered_start(order);
 		if (order->unanswered_starts >= MAX_UNANSWERED_STARTS)
--- a/runs/runs.c
+++ b/runs/runs.c
@@ -158,6 +158,7 @@
 	g_hash_table_remove_all(r->infos);
 	g_hash_table_remove_all(r->not_started);
 	r->lease_until_ms = 0;
+	runs_permission_reset_clock(r);
 	r->acked_through = 0;
 	r->last_end_queued = 0;
 	r->clock_ms = 0;
@@ -255,6 +256,7 @@
 	r->leader_connected = TRUE;
 	r->pairs_due = TRUE;
 	r->fencing_token = fencing_token;
+	runs_permission_reset(r);
 	/* Reports tell the leader only of leases that were sent. */
 	r->lease_until_ms = r->lease_sent_ms;
 	r->last_end_queued = 0;
@@ -278,6 +280,7 @@
 	    orders->worker_born_ms != r->worker->born_ms)
 		return;
 	r->lease_until_ms = MAX(r->lease_until_ms, orders->lease_until_ms);
+	runs_permission_apply(r, orders);
 	r->acked_through = MAX(r->acked_through, orders->ended_through);
 	for (i = 0; i < orders->n_pairs; i++)
 		colo_set_coefficient(
--- a/wire/rp.pb-c.c
+++ b/wire/rp.pb-c.c
@@ -5789,7 +5789,7 @@
   (ProtobufCMessageInit) rp__serving_base__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp__vm_orders__field_descriptors[9] =
+static const ProtobufCFieldDescriptor rp__vm_orders__field_descriptors[12] =
 {
   {
     "fence",
@@ -5899,14 +5899,53 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "starts_limited",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rp__VmOrders, starts_limited),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "evacuated",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rp__VmOrders, evacuated),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "starts_until_ms",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Rp__VmOrders, starts_until_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rp__vm_orders__field_indices_by_name[] = {
   8,   /* field[8] = bases */
   4,   /* field[4] = ended_through */
+  10,   /* field[10] = evacuated */
   0,   /* field[0] = fence */
   3,   /* field[3] = lease_until_ms */
   7,   /* field[7] = pairs */
   5,   /* field[5] = starts */
+  9,   /* field[9] = starts_limited */
+  11,   /* field[11] = starts_until_ms */
   6,   /* field[6] = stops */
   2,   /* field[2] = worker_born_ms */
   1,   /* field[1] = worker_id */
@@ -5914,7 +5953,7 @@
 static const ProtobufCIntRange rp__vm_orders__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor rp__vm_orders__descriptor =
 {
@@ -5924,14 +5963,14 @@
   "Rp__VmOrders",
   "rp",
   sizeof(Rp__VmOrders),
-  9,
+  12,
   rp__vm_orders__field_descriptors,
   rp__vm_orders__field_indices_by_name,
   1,  rp__vm_orders__number_ranges,
   (ProtobufCMessageInit) rp__vm_orders__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp__worker_info__field_descriptors[11] =
+static const ProtobufCFieldDescriptor rp__worker_info__field_descriptors[12] =
 {
   {
     "worker_id",
@@ -6065,10 +6104,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cold_remaining_ms",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Rp__WorkerInfo, cold_remaining_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rp__worker_info__field_indices_by_name[] = {
   1,   /* field[1] = born_ms */
   4,   /* field[4] = capacity */
+  11,   /* field[11] = cold_remaining_ms */
   6,   /* field[6] = draining */
   8,   /* field[8] = gone */
   5,   /* field[5] = labels */
@@ -6082,7 +6134,7 @@
 static const ProtobufCIntRange rp__worker_info__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor rp__worker_info__descriptor =
 {
@@ -6092,7 +6144,7 @@
   "Rp__WorkerInfo",
   "rp",
   sizeof(Rp__WorkerInfo),
-  11,
+  12,
   rp__worker_info__field_descriptors,
   rp__worker_info__field_indices_by_name,
   1,  rp__worker_info__number_ranges,
--- a/wire/rp.pb-c.h
+++ b/wire/rp.pb-c.h
@@ -1170,10 +1170,23 @@
    */
   size_t n_bases;
   Rp__ServingBase **bases;
+  /*
+   * The worker may be told to start runs only up to starts_until_ms. Not set by
+   *earlier versions of the leader, and without evacuations. 
+   */
+  protobuf_c_boolean starts_limited;
+  /*
+   * The VM's zone is evacuated: runs that were not told to start are stopped.
+   */
+  protobuf_c_boolean evacuated;
+  /*
+   * Worker's clock; 0 if no start is permitted. 
+   */
+  int64_t starts_until_ms;
 };
 #define RP__VM_ORDERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rp__vm_orders__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0 }
 
 
 /*
@@ -1206,10 +1219,14 @@
    * Rises with each description; an older one is ignored. 
    */
   uint64_t sequence;
+  /*
+   * How much longer the worker is slow after its start; 0 if it is not. 
+   */
+  int64_t cold_remaining_ms;
 };
 #define RP__WORKER_INFO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rp__worker_info__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, 0,NULL, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, 0,NULL, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
