sched, cell, platform: evacuate availability zones

An operator takes a zone out of service by the key op/evacuate/ZONE and returns it by removing the key. So far, the leader did not read it.

Starts that agents withdraw count neither as faults nor as failures.

--- a/cell/cell.h
+++ b/cell/cell.h
@@ -48,6 +48,17 @@
 	const char *listen;
 	/** Key of the configuration tables; copied. */
 	const char *tables_key;
+	/**
+	 * Prefix of the keys of evacuated zones, which end with the zone's
+	 * name, and a common prefix of these and the tables' key, which is
+	 * watched in place of the latter. Both are copied; NULL if zones cannot
+	 * be evacuated.
+	 */
+	const char *evacuations_prefix;
+	const char *watched_prefix;
+	/** As in struct sch_options. */
+	gint64 evacuation_ms;
+	guint lost_zones;
 	cell_tables_fn read_tables;
 	void *ctx;
 	/** Maximum number of operations of a transaction, with comparisons. */
--- a/cell/cell_test.h
+++ b/cell/cell_test.h
@@ -16,7 +16,12 @@
 #define ENTRIES 2
 static const char *const entry_names[ENTRIES] = { "entry0", "entry1" };
 
-#define TABLES_KEY "tables"
+#define TABLES_KEY "op/tables"
+/** Prefix of the keys of evacuated zones, and of all watched keys. */
+#define EVACUATIONS_PREFIX "op/evacuate/"
+#define WATCHED_PREFIX "op/"
+/** Zone of the worker. */
+#define ZONE "z1"
 #define RUN_MS 60
 
 /** Longest wait for a condition. */
@@ -45,6 +50,8 @@
 	guint starts;
 	/** Number of the worker's last end record. */
 	guint64 last_end;
+	/** As in struct cell_entry_options. */
+	gint64 evacuation_ms;
 	/** The worker takes no notice of calls. */
 	gboolean unresponsive;
 	/** Highest fencing token that the worker has seen. */
@@ -198,6 +205,10 @@
 		.read_tables = read_tables,
 		.max_txn_ops = 32,
 		.cpu_milli = cpu_milli,
+		.evacuation_ms = cell->evacuation_ms,
+		.evacuations_prefix = cell->evacuation_ms ? EVACUATIONS_PREFIX
+							  : NULL,
+		.watched_prefix = cell->evacuation_ms ? WATCHED_PREFIX : NULL,
 	};
 	g_autoptr(GError) error = NULL;
 	struct cell_entry *entry = cell_entry_new(&options, &error);
@@ -222,12 +233,14 @@
 	capacity.memory_bytes = 1 << 30;
 	info.worker_id = (char *)"w1";
 	info.pool = (char *)"pool";
+	info.zone = (char *)ZONE;
 	info.born_ms = WORKER_STARTED_MS;
 	info.capacity = &capacity;
 	cell_agent_set_worker(cell->agent, &info);
 }
 
-static inline void setup(struct cell *cell)
+/* With zones that can be evacuated if evacuation_ms is above 0. */
+static inline void setup_zones(struct cell *cell, gint64 evacuation_ms)
 {
 	g_autofree char *listen = g_strdup_printf("127.0.0.1:%d", port_new());
 	g_autoptr(GBytes) tables = g_bytes_new_static("b", 1);
@@ -241,6 +254,7 @@
 	int i;
 
 	memset(cell, 0, sizeof(*cell));
+	cell->evacuation_ms = evacuation_ms;
 	cell->base = event_base_new();
 	cell->runs = g_array_new(FALSE, FALSE, sizeof(struct run));
 	fake_init(&cell->kv, cell->base);
@@ -254,6 +268,11 @@
 	send_worker_info(cell);
 }
 
+static inline void setup(struct cell *cell)
+{
+	setup_zones(cell, 0);
+}
+
 static inline void teardown(struct cell *cell)
 {
 	guint i;
--- a/cell/entry.c
+++ b/cell/entry.c
@@ -384,6 +384,8 @@
 		.confirmed_ms = sent_ms,
 		.max_txn_ops = entry->options.max_txn_ops,
 		.cpu_milli = entry->options.cpu_milli,
+		.evacuation_ms = entry->options.evacuation_ms,
+		.lost_zones = entry->options.lost_zones,
 	};
 
 	entry->fencing_token = fencing_token;
@@ -439,6 +441,13 @@
 	cell_lead_set_tables(entry->lead, queues);
 }
 
+static void on_evacuations(void *ctx)
+{
+	struct cell_entry *entry = ctx;
+
+	cell_lead_set_evacuations(entry->lead);
+}
+
 static void on_node(void *ctx, const char *name, GBytes *value)
 {
 	struct cell_entry *entry = ctx;
@@ -563,6 +572,8 @@
 		.kv = options->kv,
 		.name = options->name,
 		.tables_key = options->tables_key,
+		.evacuations_prefix = options->evacuations_prefix,
+		.watched_prefix = options->watched_prefix,
 		.handler = {
 			.on_elected = on_elected,
 			.on_records_loaded = on_records_loaded,
@@ -570,6 +581,7 @@
 			.on_confirmed = on_confirmed,
 			.on_committed = on_committed,
 			.on_tables = on_tables,
+			.on_evacuations = on_evacuations,
 			.on_node = on_node,
 			.on_record = on_record,
 			.ctx = entry,
@@ -577,6 +589,8 @@
 	};
 
 	entry->options = *options;
+	if (!options->evacuations_prefix || !options->watched_prefix)
+		entry->options.evacuation_ms = 0;
 	entry->name = g_strdup(options->name);
 	entry->listen = g_strdup(options->listen);
 	entry->listener = cell_listen(options->base, options->listen, on_accept,
--- a/cell/fake_kv_test.h
+++ b/cell/fake_kv_test.h
@@ -332,6 +332,20 @@
 	g_free(watch);
 }
 
+/* Ends all watches, as after a loss of history. */
+static inline void fake_end_watches(struct fake_kv *fake)
+{
+	g_autoptr(GError) error = g_error_new(KV_ERROR, KV_ERROR_PROTOCOL,
+					      "history is lost");
+	struct kv_watch *watch;
+
+	while ((watch = g_queue_pop_head(&fake->watches))) {
+		watch->fn(watch->ctx, NULL, error);
+		g_free(watch->prefix);
+		g_free(watch);
+	}
+}
+
 static inline gint64
 fake_watch_current_ms(const struct kv *kv,
 		      const struct kv_watch *watch G_GNUC_UNUSED)
--- a/cell/internal.h
+++ b/cell/internal.h
@@ -185,6 +185,21 @@
 /** TRUE if the process has too little CPU for its load. */
 gboolean cell_lag_is_behind(const struct cell_lag *lag);
 
+/* evacuations.c: evacuated zones, as read from the key-value store. */
+struct cell_evacuations;
+
+/** prefix is that of the keys; NULL if zones cannot be evacuated. */
+struct cell_evacuations *cell_evacuations_new(const char *prefix);
+void cell_evacuations_free(struct cell_evacuations *evacuations);
+/** Replaces the set by that of a complete read, of struct kv_pair. */
+void cell_evacuations_replace(struct cell_evacuations *evacuations,
+			      const GPtrArray *pairs);
+/** Applies a change of a key. Returns FALSE if it is not that of a zone. */
+gboolean cell_evacuations_apply(struct cell_evacuations *evacuations,
+				const struct kv_pair *pair);
+/** Of struct sch_evacuation. */
+const GArray *cell_evacuations_list(const struct cell_evacuations *evacuations);
+
 /* store.c: leader election and records in the key-value store. */
 struct cell_store;
 
@@ -202,6 +217,8 @@
 	void (*on_committed)(void *ctx, guint64 revision);
 	/** The configuration tables were read or have changed. */
 	void (*on_tables)(void *ctx, GBytes *document);
+	/** The evacuated zones were read or have changed. */
+	void (*on_evacuations)(void *ctx);
 	/** A process's address was read or has changed; value is NULL if it was
 	 * removed. */
 	void (*on_node)(void *ctx, const char *name, GBytes *value);
@@ -216,6 +233,9 @@
 	const char *name;
 	/** Key of the configuration tables. */
 	const char *tables_key;
+	/** As in struct cell_entry_options. */
+	const char *evacuations_prefix;
+	const char *watched_prefix;
 	struct cell_store_handler handler;
 };
 
@@ -233,8 +253,11 @@
  * leads; one transaction at a time. */
 void cell_store_commit(struct cell_store *store, struct kv_txn *txn);
 /** Time of the boot clock up to which all changes of the configuration tables
- * have been passed to on_tables; 0 if they were not read yet. */
+ * have been passed to on_tables, and all changes of the evacuated zones to
+ * on_evacuations; 0 if they were not read yet. */
 gint64 cell_store_tables_current_ms(const struct cell_store *store);
+/** The evacuated zones: struct sch_evacuation, as of the time above. */
+const GArray *cell_store_evacuations(const struct cell_store *store);
 /** Removes the address of a process from the store. */
 void cell_store_remove_node(struct cell_store *store, const char *name);
 /** Ends leadership at once, since a leader elected later has connected. */
@@ -265,6 +288,9 @@
 	guint max_txn_ops;
 	/** CPU limit of this process, thousandths of a core; 0 if not known. */
 	guint cpu_milli;
+	/** As in struct sch_options. */
+	gint64 evacuation_ms;
+	guint lost_zones;
 };
 
 struct cell_lead *cell_lead_new(const struct cell_lead_options *options);
@@ -285,6 +311,8 @@
 void cell_lead_committed(struct cell_lead *lead, guint64 revision);
 void cell_lead_tick(struct cell_lead *lead);
 gboolean cell_lead_has_tables(const struct cell_lead *lead);
+/** Applies the evacuated zones that the store has read. */
+void cell_lead_set_evacuations(struct cell_lead *lead);
 /** Names a successor to all entries if this process should hand over; TRUE if
  * it did so, now or before. Leadership is to be given up on a later tick, when
  * the frames are sent. */
--- a/cell/lead.c
+++ b/cell/lead.c
@@ -84,7 +84,8 @@
 	/** Number of the last connection that was established. */
 	guint64 last_connection;
 	gboolean has_tables;
-	/** Up to when the tables were last reported to be current. */
+	/** Up to when the tables and the evacuated zones were last reported to
+	 * be current. */
 	gint64 tables_current_ms;
 	/** struct sch_effect to be executed. */
 	GArray *effects;
@@ -345,6 +346,8 @@
 		.leadership_valid_ms = LEADERSHIP_VALID_MS,
 		.max_ops = options->max_txn_ops - CONDITION_OPS,
 		.retention_ms = RETENTION_MS,
+		.evacuation_ms = options->evacuation_ms,
+		.lost_zones = options->lost_zones,
 	};
 
 	lead->options = *options;
@@ -408,7 +411,23 @@
 			   key, len);
 }
 
-/* Reports up to when the tables are current, if that has changed. */
+void cell_lead_set_evacuations(struct cell_lead *lead)
+{
+	const GArray *list = cell_store_evacuations(lead->options.store);
+	struct sch_event ev = {
+		.kind = SCH_EVENT_EVACUATIONS,
+		.evacuations = (const struct sch_evacuation *)list->data,
+		.n_evacuations = list->len,
+		.confirmed_ms =
+			cell_store_tables_current_ms(lead->options.store),
+	};
+
+	if (lead->options.evacuation_ms)
+		reduce(lead, &ev);
+}
+
+/* Reports up to when the tables and the evacuated zones are current, if that
+ * has changed. */
 static void confirm_tables(struct cell_lead *lead)
 {
 	struct sch_event ev = { .kind = SCH_EVENT_TABLES_CONFIRMED };
@@ -418,6 +437,7 @@
 		return;
 	lead->tables_current_ms = ev.confirmed_ms;
 	reduce(lead, &ev);
+	cell_lead_set_evacuations(lead);
 }
 
 void cell_lead_set_tables(struct cell_lead *lead, GPtrArray *queues)
--- a/cell/store.c
+++ b/cell/store.c
@@ -78,6 +78,10 @@
 	struct kv *kv;
 	char *name;
 	char *tables_key;
+	/** Watched in place of tables_key; NULL if zones cannot be evacuated.
+	 */
+	char *watched_prefix;
+	struct cell_evacuations *evacuations;
 	struct cell_store_handler handler;
 	enum store_state state;
 	gint64 now_ms;
@@ -587,6 +591,8 @@
 		store->handler.on_node(store->handler.ctx,
 				       pair->key + strlen(CELL_NODE_PREFIX),
 				       pair->value);
+	else if (cell_evacuations_apply(store->evacuations, pair))
+		store->handler.on_evacuations(store->handler.ctx);
 	else if (pair->value && !strcmp(pair->key, store->tables_key))
 		store->handler.on_tables(store->handler.ctx, pair->value);
 }
@@ -606,14 +612,23 @@
 	watch->next_ms = watch->store->now_ms + RETRY_MS;
 }
 
+/* Prefix of the watched keys, or the only such key. */
+static const char *watched_prefix(const struct store_watch *watch)
+{
+	const struct cell_store *store = watch->store;
+
+	if (watch->what == WATCH_NODES)
+		return CELL_NODE_PREFIX;
+	return store->watched_prefix ? store->watched_prefix
+				     : store->tables_key;
+}
+
 static void on_watch_read(void *arg, const GPtrArray *pairs, gint64 revision,
 			  const GError *error)
 {
 	g_autofree struct call_ctx *ctx = arg;
 	struct store_watch *watch = ctx->watch;
 	struct cell_store *store = ctx->store;
-	const char *prefix = watch->what == WATCH_NODES ? CELL_NODE_PREFIX
-							: store->tables_key;
 	guint i;
 
 	if (end_call(ctx))
@@ -625,10 +640,19 @@
 	}
 	watch->read = TRUE;
 	watch->current_ms = ctx->sent_ms;
+	if (watch->what == WATCH_TABLES && store->watched_prefix) {
+		cell_evacuations_replace(store->evacuations, pairs);
+		store->handler.on_evacuations(store->handler.ctx);
+	}
 	for (i = 0; i < pairs->len; i++)
 		deliver_change(watch, pairs->pdata[i]);
-	watch->watch = store->kv->ops->watch(store->kv, prefix, revision,
-					     on_watch, watch);
+	watch->watch = store->kv->ops->watch(store->kv, watched_prefix(watch),
+					     revision, on_watch, watch);
+}
+
+const GArray *cell_store_evacuations(const struct cell_store *store)
+{
+	return cell_evacuations_list(store->evacuations);
 }
 
 gint64 cell_store_tables_current_ms(const struct cell_store *store)
@@ -653,11 +677,10 @@
 	watch->reading = TRUE;
 	ctx = call_ctx_new(store);
 	ctx->watch = watch;
-	store->kv->ops->range(store->kv,
-			      watch->what == WATCH_NODES ? CELL_NODE_PREFIX
-							 : store->tables_key,
-			      watch->what == WATCH_TABLES, 0, on_watch_read,
-			      ctx);
+	store->kv->ops->range(store->kv, watched_prefix(watch),
+			      watch->what == WATCH_TABLES &&
+				      !store->watched_prefix,
+			      0, on_watch_read, ctx);
 }
 
 static void on_node_removed(void *ctx G_GNUC_UNUSED,
@@ -688,6 +711,8 @@
 	store->kv = options->kv;
 	store->name = g_strdup(options->name);
 	store->tables_key = g_strdup(options->tables_key);
+	store->watched_prefix = g_strdup(options->watched_prefix);
+	store->evacuations = cell_evacuations_new(options->evacuations_prefix);
 	store->handler = options->handler;
 	store->open_calls = g_hash_table_new_full(NULL, NULL, g_free, NULL);
 	for (i = 0; i < N_WATCHES; i++) {
@@ -706,6 +731,8 @@
 	g_free(store->candidacy);
 	g_free(store->name);
 	g_free(store->tables_key);
+	g_free(store->watched_prefix);
+	cell_evacuations_free(store->evacuations);
 	g_free(store);
 }
 
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -74,6 +74,19 @@
 	GArray *images;
 };
 
+/** An availability zone that has VMs or is evacuated. Times are boot clock in
+ * ms. */
+struct sch_zone {
+	char *name;
+	gboolean evacuated;
+	/** When the evacuation was learned. */
+	gint64 evacuated_ms;
+	/** It was checked since then whether the zone has VMs. */
+	gboolean checked;
+	/** While a step is placed: its tasks that have a run in the zone. */
+	guint n_step_tasks;
+};
+
 /** A worker, and the VM that it runs on. Times are boot clock in ms. */
 struct sch_vm {
 	/** Name of the agent's VM. */
@@ -105,6 +118,15 @@
 	 */
 	gboolean lease_reported;
 	char *pool;
+	/** NULL before the worker was described. */
+	struct sch_zone *zone;
+	/** After the end of its zone's evacuation: it is brought into use then.
+	 */
+	gint64 returns_ms;
+	/** The worker is slow until then after its start; 0 if it is not. */
+	gint64 cold_until_ms;
+	/** Sequence number of the description that says so. */
+	guint64 info_sequence;
 	char *rack;
 	GPtrArray *labels;
 	struct sch_amount capacity;
@@ -143,6 +165,8 @@
 	/** End records are to be acknowledged. */
 	gboolean ack_due;
 	gint64 orders_sent_ms;
+	/** Orders are to be sent because of a change of its zone. */
+	gboolean zone_due;
 	/** It is in vms_with_orders. */
 	gboolean orders_noted;
 	/** Worker faults in a row, and the job that had the last one. */
@@ -266,6 +290,8 @@
 	gint64 full_scan_ms;
 	/** VMs with versions up to this were tried since. */
 	guint64 scanned_vm_version;
+	/** Its tasks fit only in evacuated zones, as of the last full scan. */
+	gboolean awaits_zone;
 };
 
 struct sch_occurrence {
@@ -366,6 +392,13 @@
 	GPtrArray *active;
 	/** name to struct sch_vm; owned. */
 	GHashTable *vms;
+	/** Name to struct sch_zone; owned. */
+	GHashTable *zones;
+	/** No change of the evacuated zones before this time is missing; 0
+	 * before the set was first read. */
+	gint64 zones_confirmed_ms;
+	/** No VM is usable since the set of evacuated zones is too old. */
+	gboolean zones_outdated;
 	/** VMs that may have orders due because of the current event. */
 	GPtrArray *vms_with_orders;
 	/** The session of some VM is due, which may not be connected. */
@@ -506,6 +539,8 @@
 void sch_vm_send_orders(struct sch *s);
 /** Sends orders to each connected agent that has any due, also by time. */
 void sch_vm_send_all_orders(struct sch *s);
+/** Lets sch_vm_send_orders() look at the VM after this event. */
+void sch_vm_note_orders(struct sch *s, struct sch_vm *vm);
 /** TRUE if new tasks may start on the VM. */
 gboolean sch_vm_is_usable(const struct sch *s, const struct sch_vm *vm);
 /** Orders the worker to start a run. */
@@ -517,6 +552,30 @@
 void sch_vm_changed(struct sch *s, struct sch_vm *vm);
 gboolean sch_vm_has_label(const struct sch_vm *vm, const char *label);
 
+/** As sch_vm_is_usable(), without regard to its zone. */
+gboolean sch_vm_is_usable_in_zone(const struct sch *s, const struct sch_vm *vm);
+
+/* zone.c */
+void sch_zone_free(gpointer zone);
+/** Sets the VM's zone and temperature from the worker's description. */
+void sch_zone_apply_info(struct sch *s, struct sch_vm *vm,
+			 const struct Rp__WorkerInfo *info);
+/** Forgets the temperature of the worker's earlier incarnation. */
+void sch_zone_reset_worker(struct sch_vm *vm);
+/** Applies the complete set of evacuated zones. */
+void sch_zone_set_evacuations(struct sch *s, const struct sch_event *ev);
+/** Logs when the set of evacuated zones gets too old, and when it is current
+ * again. */
+void sch_zone_tick(struct sch *s);
+/** FALSE if the VM's zone is evacuated or was just returned to service, or if
+ * it is not known whether it is. */
+gboolean sch_zone_allows_starts(const struct sch *s, const struct sch_vm *vm);
+gboolean sch_zone_is_evacuated(const struct sch_vm *vm);
+/** Adds up to when the agent may send starts; clock_ms is a lower bound of the
+ * worker's clock when the set of evacuated zones was last current. */
+void sch_zone_add_orders(const struct sch *s, const struct sch_vm *vm,
+			 gint64 clock_ms, struct Rp__VmOrders *orders);
+
 /* fault.c */
 /** Counts a worker fault that a run of job had; the run started at started_ms.
  */
--- a/sched/leader_test.h
+++ b/sched/leader_test.h
@@ -18,6 +18,9 @@
 	guint status;
 	Rp__JobState state;
 	guint waiting;
+	/** What the workers' reports say; zone NULL for none. */
+	const char *zone;
+	gint64 cold_remaining_ms;
 };
 
 #define FENCING_TOKEN 9
@@ -112,7 +115,9 @@
 	return queues;
 }
 
-static void setup(struct leader *l)
+/* With zones that can be evacuated if evacuation_ms is above 0. */
+static void setup_zones(struct leader *l, gint64 evacuation_ms,
+			guint lost_zones)
 {
 	struct sch_options options = {
 		.fencing_token = FENCING_TOKEN,
@@ -120,6 +125,8 @@
 		.leadership_valid_ms = 6000,
 		.max_ops = 29,
 		.retention_ms = 180000,
+		.evacuation_ms = evacuation_ms,
+		.lost_zones = lost_zones,
 	};
 	struct sch_event ev = { .kind = SCH_EVENT_TABLES,
 				.queues = queues_new() };
@@ -134,6 +141,11 @@
 	confirm_leadership(l);
 }
 
+G_GNUC_UNUSED static void setup(struct leader *l)
+{
+	setup_zones(l, 0, 0);
+}
+
 static void teardown(struct leader *l)
 {
 	clear_effects(l);
@@ -182,6 +194,8 @@
 	info.worker_id = (char *)vm;
 	info.born_ms = worker_started_ms;
 	info.pool = (char *)"p";
+	info.zone = (char *)(l->zone ? l->zone : "");
+	info.cold_remaining_ms = l->cold_remaining_ms;
 	info.capacity = &capacity;
 	body.fence = fencing_token;
 	body.worker = &info;
@@ -295,7 +309,7 @@
 }
 
 /* Submits a job of one best-effort task with 4 CPUs. */
-static void submit_best_effort(struct leader *l, const char *path)
+G_GNUC_UNUSED static void submit_best_effort(struct leader *l, const char *path)
 {
 	struct Rp__StepSpec step;
 	struct Rp__Resources need;
--- a/sched/run.c
+++ b/sched/run.c
@@ -112,7 +112,9 @@
 {
 	run->state = SCH_RUN_ORDERED;
 	run->state_ms = s->now_ms;
-	if (run->stopping) {
+	if (sch_zone_is_evacuated(run->vm) && !run->stopping)
+		s->stats.starts_withdrawn++;
+	if (run->stopping || sch_zone_is_evacuated(run->vm)) {
 		/* The start was never sent, so there is nothing to stop. */
 		sch_run_remove(s, run);
 		return;
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -71,6 +71,8 @@
 	s->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					free_job);
 	s->vms = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_vm);
+	s->zones = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					 sch_zone_free);
 	s->durations = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					     g_free);
 	s->queue_names = g_hash_table_new(g_str_hash, g_str_equal);
@@ -90,6 +92,7 @@
 	if (s->commit)
 		g_ptr_array_unref(s->commit);
 	g_hash_table_unref(s->vms);
+	g_hash_table_unref(s->zones);
 	g_queue_clear(&s->dirty);
 	g_queue_clear(&s->awaited);
 	g_queue_clear(&s->ended);
@@ -141,6 +144,7 @@
 	guint i;
 
 	sch_vm_expire_leases(s);
+	sch_zone_tick(s);
 	for (i = s->active->len; i-- > 0;)
 		sch_job_advance(s, s->active->pdata[i]);
 	sch_call_expire(s);
@@ -165,6 +169,9 @@
 		s->tables_confirmed_ms = MAX(s->tables_confirmed_ms,
 					     ev->confirmed_ms);
 		break;
+	case SCH_EVENT_EVACUATIONS:
+		sch_zone_set_evacuations(s, ev);
+		break;
 	case SCH_EVENT_CALL:
 		sch_call(s, ev->call_ref, ev->call);
 		break;
@@ -227,4 +234,11 @@
 		if (sch_vm_is_usable(s, value))
 			stats->vms_usable++;
 	}
+	g_hash_table_iter_init(&iter, s->zones);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct sch_zone *zone = value;
+
+		if (zone->evacuated)
+			stats->zones_evacuated++;
+	}
 }
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -72,6 +72,19 @@
 	guint max_ops;
 	/** A job's state is kept for this duration after its end. */
 	gint64 retention_ms;
+	/** An evacuation is in force this long after the store has acknowledged
+	 * it; 0 if zones cannot be evacuated. */
+	gint64 evacuation_ms;
+	/** Zones that may be lost at once; above 0, tasks of a long-running
+	 * step and runs of a speculative task are spread over zones. */
+	guint lost_zones;
+};
+
+/** A zone that is out of service. */
+struct sch_evacuation {
+	const char *zone;
+	/** Of the key-value store, at which it was written. */
+	gint64 revision;
 };
 
 enum sch_event_kind {
@@ -83,6 +96,9 @@
 	SCH_EVENT_TABLES,
 	/** No change of the tables before confirmed_ms is missing. */
 	SCH_EVENT_TABLES_CONFIRMED,
+	/** evacuations is the complete set, and no change of it before
+	 * confirmed_ms is missing. */
+	SCH_EVENT_EVACUATIONS,
 	/** call is owned by the I/O layer; the reply names call_ref. */
 	SCH_EVENT_CALL,
 	/** A connection to the agent of vm was made. */
@@ -105,6 +121,9 @@
 	guint64 revision;
 	/** Of struct sch_queue pointers. */
 	GPtrArray *queues;
+	/** Owned by the I/O layer. */
+	const struct sch_evacuation *evacuations;
+	size_t n_evacuations;
 	guint64 call_ref;
 	const struct Rp__StepCall *call;
 	const char *vm;
@@ -176,8 +195,29 @@
 	guint64 speculative_runs;
 	guint64 rescheduled;
 	guint64 commits;
+	guint zones_evacuated;
+	/** Starts that were planned or ordered in a zone and were withdrawn
+	 * because of its evacuation. */
+	guint64 starts_withdrawn;
+	/** Steps that had to wait since their tasks fit only in evacuated
+	 * zones. */
+	guint64 steps_awaiting_zone;
 };
 
 void sch_get_stats(const struct sch *s, struct sch_stats *stats);
 
+/** Values for metrics of a zone. */
+struct sch_zone_stats {
+	/** CPUs that no run reserves on the zone's connected VMs. */
+	gint64 free_cpu_milli;
+	guint runs;
+	gboolean evacuated;
+};
+
+/** Calls fn for each zone that has VMs. */
+void sch_foreach_zone(const struct sch *s,
+		      void (*fn)(void *ctx, const char *zone,
+				 const struct sch_zone_stats *stats),
+		      void *ctx);
+
 #endif
--- a/sched/vm.c
+++ b/sched/vm.c
@@ -79,11 +79,20 @@
 	g_free(vm);
 }
 
-/* Lower bound of the worker's clock now; see above. */
+/* Lower bound of the worker's clock at this time; see above. Before the reading
+ * it may have run as fast as the boot clock. */
+static gint64 clock_at_ms(const struct sch_vm *vm, gint64 at_ms)
+{
+	gint64 since_ms = at_ms - vm->clock_read_ms;
+
+	return vm->clock_ms +
+	       (since_ms < 0 ? since_ms
+			     : (gint64)((double)since_ms * CLOCK_RATE_MIN));
+}
+
 static gint64 clock_now_ms(const struct sch *s, const struct sch_vm *vm)
 {
-	return vm->clock_ms + (gint64)((double)(s->now_ms - vm->clock_read_ms) *
-				       CLOCK_RATE_MIN);
+	return clock_at_ms(vm, s->now_ms);
 }
 
 static void log_lost_run(const struct sch *s, const struct sch_run *run)
@@ -106,8 +115,7 @@
 			 clock_now_ms(s, vm), s->now_ms - vm->clock_read_ms);
 }
 
-/* Lets sch_vm_send_orders() look at the VM after this event. */
-static void note_orders(struct sch *s, struct sch_vm *vm)
+void sch_vm_note_orders(struct sch *s, struct sch_vm *vm)
 {
 	if (vm->orders_noted)
 		return;
@@ -146,7 +154,7 @@
 		vm->fencing_token = s->last_revision;
 		vm->session_due = FALSE;
 		vm->orders_sent_ms = 0;
-		note_orders(s, vm);
+		sch_vm_note_orders(s, vm);
 		effect = sch_effect_add(s, SCH_EFFECT_SESSION);
 		effect->vm = g_strdup(vm->name);
 		effect->fencing_token = vm->fencing_token;
@@ -232,6 +240,7 @@
 	vm->acked_through = 0;
 	sch_vm_clear_faults(vm);
 	vm->slowness = 1;
+	sch_zone_reset_worker(vm);
 	g_hash_table_remove_all(vm->unknown_runs);
 	g_ptr_array_set_size(vm->stops, 0);
 	g_queue_clear_full(&vm->ends, g_free);
@@ -295,6 +304,11 @@
 }
 
 gboolean sch_vm_is_usable(const struct sch *s, const struct sch_vm *vm)
+{
+	return sch_zone_allows_starts(s, vm) && sch_vm_is_usable_in_zone(s, vm);
+}
+
+gboolean sch_vm_is_usable_in_zone(const struct sch *s, const struct sch_vm *vm)
 {
 	return vm->connected && vm->info_received && vm->synced &&
 	       !vm->draining &&
@@ -314,6 +328,7 @@
 	vm->pool = g_strdup(info->pool);
 	g_free(vm->rack);
 	vm->rack = g_strdup(info->rack);
+	sch_zone_apply_info(s, vm, info);
 	g_ptr_array_set_size(vm->labels, 0);
 	for (i = 0; i < info->n_labels; i++)
 		g_ptr_array_add(vm->labels, g_strdup(info->labels[i]));
@@ -360,7 +375,7 @@
 void sch_vm_order_start(struct sch *s, struct sch_run *run)
 {
 	g_ptr_array_add(run->vm->starts, run);
-	note_orders(s, run->vm);
+	sch_vm_note_orders(s, run->vm);
 }
 
 void sch_vm_order_stop(struct sch *s, struct sch_vm *vm, const char *task,
@@ -371,7 +386,7 @@
 	ref->task = g_strdup(task);
 	ref->attempt = attempt;
 	g_ptr_array_add(vm->stops, ref);
-	note_orders(s, vm);
+	sch_vm_note_orders(s, vm);
 }
 
 static void apply_row(struct sch *s, struct sch_run *run,
@@ -529,7 +544,7 @@
 static gboolean is_worker_fault(const char *reason)
 {
 	static const char *const others[] = { "stopped", "draining", "late",
-					      "fence" };
+					      "fence", "evacuated" };
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(others); i++)
@@ -562,6 +577,8 @@
 		run->outdated_lists = 0;
 		return;
 	}
+	if (!strcmp(answer->reason, "evacuated"))
+		s->stats.starts_withdrawn++;
 	if (is_worker_fault(answer->reason) && !run->stopping)
 		sch_vm_fault(s, vm, run->task->job, run->state_ms);
 	if (run->task->instance->step->gang &&
@@ -606,7 +623,7 @@
 		return;
 	vm->last_report_ms = s->now_ms;
 	vm->unresponsive_ms = report->silent_ms;
-	note_orders(s, vm);
+	sch_vm_note_orders(s, vm);
 	sch_vm_changed(s, vm);
 	sch_interference_merge(s, report);
 	if (!report->worker || !*report->worker->worker_id) {
@@ -735,7 +752,10 @@
 		if (vm->synced)
 			add_run_orders(vm, orders);
 		sch_interference_add_orders(s, vm, orders);
+		sch_zone_add_orders(
+			s, vm, clock_at_ms(vm, s->zones_confirmed_ms), orders);
 	}
+	vm->zone_due = FALSE;
 	vm->orders_sent_ms = s->now_ms;
 	vm->ack_due = FALSE;
 }
@@ -748,7 +768,7 @@
 	if (!vm->connected || vm->session_due)
 		return;
 	acknowledge_ends(vm, first_unsaved);
-	if (since_orders_ms >= ORDERS_INTERVAL_MS ||
+	if (since_orders_ms >= ORDERS_INTERVAL_MS || vm->zone_due ||
 	    (vm->ack_due && since_orders_ms >= ACK_DELAY_MS) ||
 	    (vm->synced && (vm->starts->len || vm->stops->len)))
 		send_orders(s, vm);
