sched: give agents in an evacuated zone no new permission to start

Orders to an agent in an evacuated zone still extended the time up to which it may send starts, so only the field evacuated held them back. Now the permission ends as well.

--- a/sched/zone.c
+++ b/sched/zone.c
@@ -102,7 +102,8 @@
 		return;
 	orders->starts_limited = TRUE;
 	orders->evacuated = sch_zone_is_evacuated(vm);
-	if (vm->clock_ms && s->zones_confirmed_ms)
+	/* An evacuated zone gets no new permission, and earlier ones end. */
+	if (vm->clock_ms && s->zones_confirmed_ms && !orders->evacuated)
 		orders->starts_until_ms =
 			clock_ms + (gint64)((double)s->options.evacuation_ms *
 					    PERMISSION_PART);
--- a/sched/zone_test.c
+++ b/sched/zone_test.c
@@ -221,6 +221,7 @@
 	set_zones(&l, vm->zone->name);
 	/* The agent is told at once. */
 	ck_assert(orders_of(&l, vm->name)->evacuated);
+	ck_assert_int_eq(orders_of(&l, vm->name)->starts_until_ms, 0);
 	report_failed_start(&l, vm->name, "a.0.0.0", "evacuated");
 	ck_assert_uint_eq(l.s->stats.starts_withdrawn, 1);
 	ck_assert_uint_eq(vm->worker_faults, 0);
