sched: count and log what evacuations hold back

Operators need to see which zones are evacuated and what that costs. The leader's metrics now have the evacuated zones, withdrawn starts, free CPUs and runs by zone, and the steps whose tasks fit only in evacuated zones; such a step is logged once. The metrics are there only where zones can be evacuated.

--- a/cell/lead.c
+++ b/cell/lead.c
@@ -672,6 +672,31 @@
 	}
 }
 
+static void update_zone(void *ctx, const char *zone,
+			const struct sch_zone_stats *stats)
+{
+	struct obs_metrics *metrics = ctx;
+	g_autofree char *escaped = g_strescape(zone, NULL);
+	g_autofree char *label = g_strdup_printf("zone=\"%s\"", escaped);
+
+	obs_gauge(metrics, "radishpier_step_zone_free_cpu_milli", label,
+		  (double)stats->free_cpu_milli);
+	obs_gauge(metrics, "radishpier_step_zone_runs", label, stats->runs);
+}
+
+static void update_zones(struct cell_lead *lead, const struct sch_stats *stats)
+{
+	struct obs_metrics *metrics = lead->options.metrics;
+
+	obs_gauge(metrics, "radishpier_step_zones_evacuated", NULL,
+		  stats->zones_evacuated);
+	obs_count_set(metrics, "radishpier_step_starts_withdrawn_total", NULL,
+		      stats->starts_withdrawn);
+	obs_count_set(metrics, "radishpier_step_awaiting_zone_total", NULL,
+		      stats->steps_awaiting_zone);
+	sch_foreach_zone(lead->sch, update_zone, metrics);
+}
+
 void cell_lead_update_metrics(struct cell_lead *lead)
 {
 	struct obs_metrics *metrics = lead->options.metrics;
@@ -703,6 +728,8 @@
 		      stats.rescheduled);
 	obs_count_set(metrics, "radishpier_step_commits_total", NULL,
 		      stats.commits);
+	if (lead->options.evacuation_ms)
+		update_zones(lead, &stats);
 	obs_gauge(metrics, "radishpier_leader_late_ratio", NULL,
 		  lead->lag.late_share);
 	if (lead->tables_current_ms)
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -397,6 +397,7 @@
 	/** No change of the evacuated zones before this time is missing; 0
 	 * before the set was first read. */
 	gint64 zones_confirmed_ms;
+	guint n_evacuated;
 	/** No VM is usable since the set of evacuated zones is too old. */
 	gboolean zones_outdated;
 	/** VMs that may have orders due because of the current event. */
--- a/sched/place.c
+++ b/sched/place.c
@@ -115,14 +115,15 @@
 	return n;
 }
 
-/* Whether the VM may run another task of the step, free capacity aside. */
-static gboolean may_run(const struct sch *s, const struct sch_vm *vm,
-			const struct sch_step_instance *instance,
-			const char *pool, const char *rack)
+/* Whether the VM may run another task of the step if it is usable, free
+ * capacity aside. */
+static gboolean is_suitable(const struct sch_vm *vm,
+			    const struct sch_step_instance *instance,
+			    const char *pool, const char *rack)
 {
 	const struct Rp__StepSpec *step = instance->step;
 
-	return sch_vm_is_usable(s, vm) && !strcmp(vm->pool, pool) &&
+	return !strcmp(vm->pool, pool) &&
 	       (!rack || !g_strcmp0(vm->rack, rack)) &&
 	       (!*step->label || sch_vm_has_label(vm, step->label)) &&
 	       (!step->max_per_vm || count_on(vm, instance) < step->max_per_vm);
@@ -216,8 +217,8 @@
 {
 	struct sch_best_effort_demand demand;
 
-	if (!has_capacity(vm, instance->step) ||
-	    !may_run(s, vm, instance, queue->pool, rack))
+	if (!has_capacity(vm, instance->step) || !sch_vm_is_usable(s, vm) ||
+	    !is_suitable(vm, instance, queue->pool, rack))
 		return FALSE;
 	*score = base_score(s, vm, instance);
 	if (!instance->step->fills)
@@ -321,6 +322,37 @@
 	return checkpoint;
 }
 
+/* Counts and logs a step whose tasks found no VM, if one in an evacuated zone
+ * has room for them; once until all its tasks have a run. */
+static void note_awaited_zone(struct sch *s, struct sch_step_instance *instance,
+			      const struct sch_queue *queue)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!s->n_evacuated || instance->awaits_zone || !queue)
+		return;
+	g_hash_table_iter_init(&iter, s->vms);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct sch_vm *vm = value;
+
+		if (!sch_zone_is_evacuated(vm) ||
+		    !sch_vm_is_usable_in_zone(s, vm) ||
+		    !has_capacity(vm, instance->step) ||
+		    !is_suitable(vm, instance, queue->pool, NULL))
+			continue;
+		instance->awaits_zone = TRUE;
+		s->stats.steps_awaiting_zone++;
+		g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "JOB_ID",
+				 instance->job->id, "MESSAGE",
+				 "step %u waits: %u tasks would fit only in "
+				 "evacuated zones, such as %s",
+				 instance->number, instance->n_idle,
+				 vm->zone->name);
+		return;
+	}
+}
+
 /* Plans runs for all members of a gang, or for none. */
 static void plan_gang(struct sch *s, struct sch_step_instance *instance)
 {
@@ -342,7 +374,11 @@
 			return;
 	}
 	/* One rack is preferred, not required. */
-	plan_gang_in(s, instance, NULL);
+	if (plan_gang_in(s, instance, NULL))
+		instance->awaits_zone = FALSE;
+	else
+		note_awaited_zone(s, instance,
+				  sch_queue_find(s, instance->job->queue));
 }
 
 /* Sets s->placements to the VMs with a version above since where tasks of the
@@ -431,12 +467,15 @@
 		if (!plan_best(s, task, c->queue))
 			break;
 	}
-	if (i == instance->n_tasks)
+	if (i == instance->n_tasks) {
+		instance->awaits_zone = FALSE;
 		return;
+	}
 	instance->scanned_vm_version = s->last_vm_version;
 	if (all) {
 		instance->full_scan_ms = s->now_ms;
 		sch_preempt(s, instance, c->queue->priority);
+		note_awaited_zone(s, instance, c->queue);
 	}
 }
 
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -234,11 +234,5 @@
 		if (sch_vm_is_usable(s, value))
 			stats->vms_usable++;
 	}
-	g_hash_table_iter_init(&iter, s->zones);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct sch_zone *zone = value;
-
-		if (zone->evacuated)
-			stats->zones_evacuated++;
-	}
+	stats->zones_evacuated = s->n_evacuated;
 }
--- a/sched/zone.c
+++ b/sched/zone.c
@@ -165,6 +165,7 @@
 	guint i;
 
 	zone->evacuated = TRUE;
+	s->n_evacuated++;
 	zone->evacuated_ms = s->now_ms;
 	zone->checked = FALSE;
 	for (i = 0; i < vms->len; i++) {
@@ -189,6 +190,7 @@
 	guint i;
 
 	zone->evacuated = FALSE;
+	s->n_evacuated--;
 	for (i = 0; i < vms->len; i++) {
 		struct sch_vm *vm = vms->pdata[i];
 
--- a/sched/zone_test.c
+++ b/sched/zone_test.c
@@ -140,9 +140,12 @@
 	set_zones(&l, "ab");
 	submit_one_task(&l);
 	ck_assert_uint_eq(l.s->stats.runs, 0);
+	tick(&l, 300);
+	ck_assert_uint_eq(l.s->stats.steps_awaiting_zone, 1);
 	set_zones(&l, "b");
 	commit(&l);
 	ck_assert_uint_eq(n_runs(&l, "vm1"), 1);
+	ck_assert_uint_eq(l.s->stats.steps_awaiting_zone, 1);
 	teardown(&l);
 }
 END_TEST
@@ -329,6 +332,36 @@
 }
 END_TEST
 
+static void sum_zone(void *ctx, const char *zone,
+		     const struct sch_zone_stats *stats)
+{
+	struct sch_zone_stats *sums = ctx;
+
+	sums[*zone - 'a'] = *stats;
+}
+
+/* Guards against free CPUs or runs that are counted in the wrong zone. */
+START_TEST(test_zone_stats)
+{
+	struct sch_zone_stats zones[2];
+	struct sch_stats stats;
+	struct leader l;
+
+	setup_two_zones(&l);
+	set_zones(&l, "a");
+	submit_one_task(&l);
+	sch_foreach_zone(l.s, sum_zone, zones);
+	sch_get_stats(l.s, &stats);
+	ck_assert_uint_eq(stats.zones_evacuated, 1);
+	ck_assert(zones[0].evacuated && !zones[1].evacuated);
+	ck_assert_uint_eq(zones[0].runs, 0);
+	ck_assert_uint_eq(zones[1].runs, 1);
+	ck_assert_int_eq(zones[0].free_cpu_milli, CPU_MILLI);
+	ck_assert_int_eq(zones[1].free_cpu_milli, CPU_MILLI - 1000);
+	teardown(&l);
+}
+END_TEST
+
 /* Guards against a change for deployments without evacuations. */
 START_TEST(test_no_evacuations_without_the_option)
 {
@@ -359,6 +392,7 @@
 	tcase_add_test(tcase, test_permission_counts_from_the_confirmation);
 	tcase_add_test(tcase, test_unknown_zone_is_ignored);
 	tcase_add_test(tcase, test_zone_returns_in_stages);
+	tcase_add_test(tcase, test_zone_stats);
 	tcase_add_test(tcase, test_no_evacuations_without_the_option);
 	suite_add_tcase(suite, tcase);
 	return fixture_run(suite);
