sched, cell: estimate Retry-After while no call can be accepted

Cause: a refused call was told to come back after 1 s, whatever the length of the outage. Callers repeat a refused call 4 times, so an outage of more than 4 s was longer than all repeats of a call. Change: sched/retry_after.c estimates the rest of an outage from how long it has lasted, corrected by up to a factor of 2 by earlier ones, plus a random part of up to half, at most 4 s. Up to 1 s it stays at 1 s, and once the store responds again only the election counts. The leader uses it without a recent confirmation, with outdated tables and for jobs that a late transaction keeps out, the entry without a leader. One log line each when calls stop and start to be accepted. Decision: the module is in sched/, since the reducer needs it and must not depend on cell/.

--- a/cell/cell_test.c
+++ b/cell/cell_test.c
@@ -160,6 +160,28 @@
 }
 END_TEST
 
+/* Guards against callers of an entry without a leader that use up their repeats
+ * in an outage of the store, since each is told to come back after 1 s. */
+START_TEST(test_retry_after_without_leader)
+{
+	struct cell cell;
+
+	setup(&cell);
+	cell.kv.down = TRUE;
+	run_loop_ms(&cell, 300);
+	ck_assert_uint_eq(submit(&cell, 0, "/b/r1"), 503);
+	ck_assert_uint_eq(cell.retry_after_s, 1);
+	run_loop_ms(&cell, 5300);
+	ck_assert_uint_eq(submit(&cell, 0, "/b/r1"), 503);
+	ck_assert_uint_eq(cell.retry_after_s, 4);
+	/* Only an election is left to wait for. */
+	cell.kv.down = FALSE;
+	wait_ready(&cell, 0);
+	ck_assert_uint_eq(submit(&cell, 0, "/b/r1"), 200);
+	teardown(&cell);
+}
+END_TEST
+
 /* Replaces the entries by a small and a large one, of which the second starts
  * later. */
 static void setup_unequal(struct cell *cell, int second, gint64 delay_ms)
@@ -410,6 +432,7 @@
 	tcase_add_test(tcase, test_key_of_an_earlier_process);
 	tcase_add_test(tcase, test_leader_is_killed);
 	tcase_add_test(tcase, test_store_unavailable);
+	tcase_add_test(tcase, test_retry_after_without_leader);
 	tcase_add_test(tcase, test_larger_entry_is_elected);
 	tcase_add_test(tcase, test_small_leader_hands_over);
 	tcase_add_test(tcase, test_submission_survives_leader);
--- a/cell/cell_test.h
+++ b/cell/cell_test.h
@@ -53,6 +53,7 @@
 	guint status;
 	Rp__JobState state;
 	guint waiting;
+	guint retry_after_s;
 	gboolean answered;
 	guint jobs_done;
 };
@@ -288,6 +289,7 @@
 	cell->status = reply->status;
 	cell->state = reply->state;
 	cell->waiting = reply->waiting;
+	cell->retry_after_s = reply->retry_after_s;
 }
 
 static inline void begin_call(struct cell *cell, int entry, Rp__StepVerb verb,
--- a/cell/entry.c
+++ b/cell/entry.c
@@ -79,6 +79,8 @@
 	/** Highest CPU limit of the entries besides the leader, from its
 	 * heartbeat. */
 	guint best_cpu_milli;
+	/** Since when this process has had no leader to send calls to. */
+	struct sch_outage outage;
 	/** Whether the leader hands over, and when that became known. */
 	enum cell_handover handover;
 	gint64 handover_ms;
@@ -112,12 +114,14 @@
 /* Answers a call that no leader will answer. One that changes a job and was
  * sent may have taken effect, so it gets STATUS_BAD_GATEWAY instead of
  * STATUS_UNAVAILABLE. */
-static void give_up(const struct pending_call *pending)
+static void give_up(struct cell_entry *entry,
+		    const struct pending_call *pending)
 {
 	gboolean unknown = pending->sends && changes_job(pending->call);
 
 	reply_status(pending->fn, pending->ctx,
-		     unknown ? STATUS_BAD_GATEWAY : STATUS_UNAVAILABLE, 1);
+		     unknown ? STATUS_BAD_GATEWAY : STATUS_UNAVAILABLE,
+		     sch_outage_retry_after_s(&entry->outage, net_now_ms()));
 }
 
 static GHashTable *pending_calls_new(void)
@@ -135,7 +139,7 @@
 	entry->pending_calls = pending_calls_new();
 	g_hash_table_iter_init(&iter, calls);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		give_up(value);
+		give_up(entry, value);
 	g_hash_table_unref(calls);
 }
 
@@ -509,10 +513,36 @@
 			reply_status(pending->fn, pending->ctx, STATUS_TIMEOUT,
 				     0);
 		else
-			give_up(pending);
+			give_up(entry, pending);
 	}
 }
 
+/* Notes whether a leader takes calls, and if not, whether the store responds.
+ */
+static void update_outage(struct cell_entry *entry, gint64 now_ms)
+{
+	gboolean responds = cell_store_is_reachable(entry->store);
+	gint64 answer_ms = cell_store_last_answer_ms(entry->store);
+
+	if (has_leader(entry)) {
+		if (entry->outage.since_ms)
+			g_message(
+				"calls are taken again after %" G_GINT64_FORMAT
+				" ms",
+				now_ms - entry->outage.since_ms);
+		sch_outage_end(&entry->outage, now_ms);
+		return;
+	}
+	if (!entry->outage.since_ms)
+		g_message("calls are refused: there is no leader; the store "
+			  "last responded %" G_GINT64_FORMAT " ms ago",
+			  now_ms - answer_ms);
+	sch_outage_begin(&entry->outage, responds ? now_ms : answer_ms,
+			 responds);
+	if (responds)
+		sch_outage_store_responds(&entry->outage, now_ms);
+}
+
 /* Hands over, if another entry should lead: names it on one tick, and gives up
  * leadership on a later one. */
 static void hand_over_if_due(struct cell_entry *entry)
@@ -547,6 +577,7 @@
 		send_waiting_calls(entry);
 		hand_over_if_due(entry);
 	}
+	update_outage(entry, now_ms);
 	send_heartbeat(entry, now_ms);
 	expire_calls(entry, now_ms);
 }
@@ -595,6 +626,7 @@
 	cell_register_init(&entry->reg, options->kv, options->name,
 			   CELL_ROLE_ENTRY, options->listen);
 	entry->store = cell_store_new(&store_options);
+	sch_outage_init(&entry->outage, g_random_int());
 	update_candidacy(entry);
 	entry->pending_calls = pending_calls_new();
 	/* Leaders of earlier versions send a reply by the entry's name and the
@@ -618,6 +650,7 @@
 	cell_store_free(entry->store);
 	cell_leader_conn_clear(&entry->leader_conn);
 	cell_register_clear(&entry->reg);
+	sch_outage_clear(&entry->outage);
 	g_hash_table_unref(entry->pending_calls);
 	g_free(entry->name);
 	g_free(entry->listen);
@@ -670,7 +703,9 @@
 	if (may_forward(entry))
 		forward(entry, call, fn, ctx);
 	else
-		reply_status(fn, ctx, STATUS_UNAVAILABLE, 1);
+		reply_status(
+			fn, ctx, STATUS_UNAVAILABLE,
+			sch_outage_retry_after_s(&entry->outage, net_now_ms()));
 }
 
 gboolean cell_entry_is_ready(const struct cell_entry *entry)
--- a/cell/internal.h
+++ b/cell/internal.h
@@ -229,6 +229,9 @@
 			      const struct cell_candidacy *candidacy);
 /** TRUE if this process reads the leader's key, so that it could lead. */
 gboolean cell_store_is_reachable(const struct cell_store *store);
+/** When a read of the leader's key was last answered, or else when this process
+ * started; boot clock. */
+gint64 cell_store_last_answer_ms(const struct cell_store *store);
 /** Writes txn, which it takes over, on the condition that this process still
  * leads; one transaction at a time. */
 void cell_store_commit(struct cell_store *store, struct kv_txn *txn);
--- a/cell/lead.c
+++ b/cell/lead.c
@@ -345,6 +345,7 @@
 		.leadership_valid_ms = LEADERSHIP_VALID_MS,
 		.max_ops = options->max_txn_ops - CONDITION_OPS,
 		.retention_ms = RETENTION_MS,
+		.seed = g_random_int(),
 	};
 
 	lead->options = *options;
--- a/cell/store.c
+++ b/cell/store.c
@@ -111,6 +111,8 @@
 	struct cell_candidacy rank;
 	/** When a read of the leader's key was last answered. */
 	gint64 key_read_ms;
+	/** Time of the first tick. */
+	gint64 started_ms;
 	/** Time of the next lease renewal. */
 	gint64 renew_ms;
 	/** A leadership confirmation is in flight. */
@@ -755,6 +757,11 @@
 	return store->now_ms < store->key_read_ms + REACHABLE_MS;
 }
 
+gint64 cell_store_last_answer_ms(const struct cell_store *store)
+{
+	return MAX(store->key_read_ms, store->started_ms);
+}
+
 static void finish_resigning(struct cell_store *store)
 {
 	gint64 lease = store->lease;
@@ -771,6 +778,8 @@
 	size_t i;
 
 	store->now_ms = now_ms;
+	if (!store->started_ms)
+		store->started_ms = now_ms;
 	if (store->resigning || store->handing_over)
 		finish_resigning(store);
 	switch (store->state) {
--- a/sched/call.c
+++ b/sched/call.c
@@ -89,6 +89,13 @@
 	return len > 0 && len <= MAX_ID_BYTES;
 }
 
+static void refuse_unavailable(struct sch *s, guint64 call_ref)
+{
+	sch_reply(s, call_ref, STATUS_UNAVAILABLE,
+		  RP__JOB_STATE__JOB_STATE_NONE, 0,
+		  sch_outage_retry_after_s(&s->outage, s->now_ms));
+}
+
 /* Answers a repeated submission: the job is or will be stored. */
 static void submit_again(struct sch *s, guint64 call_ref,
 			 const struct Rp__StepCall *call, struct sch_job *job)
@@ -151,8 +158,7 @@
 		sch_reply(s, call_ref, STATUS_GONE,
 			  RP__JOB_STATE__JOB_STATE_NONE, 0, 0);
 	else if (!job->stored)
-		sch_reply(s, call_ref, STATUS_UNAVAILABLE,
-			  RP__JOB_STATE__JOB_STATE_NONE, 0, 1);
+		refuse_unavailable(s, call_ref);
 	else
 		sch_reply(s, call_ref, STATUS_OK, visible_state(job), 0, 0);
 }
@@ -174,8 +180,7 @@
 	else if (job && call->verb == RP__STEP_VERB__STEP_VERB_SUBMIT)
 		submit_again(s, call_ref, call, job);
 	else
-		sch_reply(s, call_ref, STATUS_UNAVAILABLE,
-			  RP__JOB_STATE__JOB_STATE_NONE, 0, 1);
+		refuse_unavailable(s, call_ref);
 }
 
 static void cancel(struct sch *s, guint64 call_ref,
@@ -232,16 +237,57 @@
 	return !outdated;
 }
 
+/* Returns since when no call can be accepted, or 0 if calls can be. A leader
+ * without contact to the store may have been replaced, and a route may have
+ * been added or removed. */
+static gint64 unavailable_since_ms(struct sch *s)
+{
+	if (!s->queues)
+		return s->elected_ms;
+	if (s->now_ms > s->confirmed_ms + CONFIRMATION_MAX_AGE_MS)
+		return s->confirmed_ms;
+	return are_tables_current(s) ? 0 : s->tables_confirmed_ms;
+}
+
+static void log_outage(const struct sch *s, gboolean was_out)
+{
+	gboolean is_out = s->outage.since_ms != 0;
+
+	if (is_out == was_out)
+		return;
+	if (is_out)
+		g_message(
+			"calls may be refused: the leadership was confirmed "
+			"%" G_GINT64_FORMAT " ms ago, the tables were current "
+			"%" G_GINT64_FORMAT " ms ago%s",
+			s->now_ms - s->confirmed_ms,
+			s->now_ms - s->tables_confirmed_ms,
+			sch_commit_is_late(s) ? ", a transaction is late" : "");
+	else
+		g_message("calls are accepted");
+}
+
+gboolean sch_call_check_outage(struct sch *s)
+{
+	gint64 since_ms = unavailable_since_ms(s);
+	gboolean was_out = s->outage.since_ms != 0;
+
+	if (since_ms)
+		sch_outage_begin(&s->outage, since_ms, TRUE);
+	else if (sch_commit_is_late(s))
+		sch_outage_begin(&s->outage, s->commit_sent_ms, TRUE);
+	else
+		sch_outage_end(&s->outage, s->now_ms);
+	log_outage(s, was_out);
+	return !since_ms;
+}
+
 void sch_call(struct sch *s, guint64 call_ref, const struct Rp__StepCall *call)
 {
 	const char *id = "";
 	struct sch_queue *queue;
 
-	/* A leader without contact to the store may have been replaced, and a
-	 * route may have been added or removed. */
-	if (!s->queues ||
-	    s->now_ms > s->confirmed_ms + CONFIRMATION_MAX_AGE_MS ||
-	    !are_tables_current(s)) {
+	if (!sch_call_check_outage(s)) {
 		answer_known_job(s, call_ref, call);
 		return;
 	}
--- a/sched/commit.c
+++ b/sched/commit.c
@@ -169,7 +169,8 @@
 			  g_array_index(job->pending_calls,
 					struct sch_pending_call, i)
 				  .call_ref,
-			  503, RP__JOB_STATE__JOB_STATE_NONE, 0, 1);
+			  503, RP__JOB_STATE__JOB_STATE_NONE, 0,
+			  sch_outage_retry_after_s(&s->outage, s->now_ms));
 	s->n_pending_calls -= job->pending_calls->len;
 	g_array_set_size(job->pending_calls, 0);
 	g_queue_remove(&s->dirty, job);
@@ -183,11 +184,16 @@
 	return !job->sent && !sch_job_has_ended(job);
 }
 
+gboolean sch_commit_is_late(const struct sch *s)
+{
+	return s->commit && s->now_ms >= s->commit_sent_ms + STORE_TIMEOUT_MS;
+}
+
 void sch_commit_check_timeout(struct sch *s)
 {
 	GList *link = s->dirty.head;
 
-	if (!s->commit || s->now_ms < s->commit_sent_ms + STORE_TIMEOUT_MS)
+	if (!sch_commit_is_late(s))
 		return;
 	while (link) {
 		struct sch_job *job = link->data;
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -358,6 +358,8 @@
 	gint64 tables_confirmed_ms;
 	/** Calls are refused since the tables may be too old. */
 	gboolean tables_outdated;
+	/** Since when no call can be accepted. */
+	struct sch_outage outage;
 	/** Name to struct sch_queue of queues. */
 	GHashTable *queue_names;
 	/** id to struct sch_job; owned. */
@@ -608,6 +610,9 @@
 void sch_commit_done(struct sch *s);
 /** Answers all pending calls after another process was elected. */
 void sch_commit_deposed(struct sch *s);
+/** TRUE if the transaction in flight takes so long that the store counts as
+ * unavailable. */
+gboolean sch_commit_is_late(const struct sch *s);
 /** If the transaction in flight takes too long, refuses and deletes the jobs
  * that were never sent to the store. */
 void sch_commit_check_timeout(struct sch *s);
@@ -622,5 +627,7 @@
 void sch_call_committed(struct sch *s, struct sch_job *job);
 /** Answers pending calls whose deadline has passed. */
 void sch_call_expire(struct sch *s);
+/** Notes whether calls can be accepted now; returns TRUE if so. */
+gboolean sch_call_check_outage(struct sch *s);
 
 #endif
--- a/sched/leader_test.h
+++ b/sched/leader_test.h
@@ -18,6 +18,7 @@
 	guint status;
 	Rp__JobState state;
 	guint waiting;
+	guint retry_after_s;
 };
 
 #define FENCING_TOKEN 9
@@ -52,6 +53,7 @@
 		l->status = e->reply.status;
 		l->state = e->reply.state;
 		l->waiting = e->reply.waiting;
+		l->retry_after_s = e->reply.retry_after_s;
 	}
 }
 
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -82,6 +82,7 @@
 	s->closing = g_ptr_array_new();
 	s->next_record_change = 1;
 	s->last_revision = options->fencing_token;
+	sch_outage_init(&s->outage, options->seed);
 	return s;
 }
 
@@ -103,6 +104,7 @@
 	g_hash_table_unref(s->queue_names);
 	if (s->queues)
 		g_ptr_array_unref(s->queues);
+	sch_outage_clear(&s->outage);
 	g_free(s);
 }
 
@@ -144,6 +146,7 @@
 	for (i = s->active->len; i-- > 0;)
 		sch_job_advance(s, s->active->pdata[i]);
 	sch_call_expire(s);
+	sch_call_check_outage(s);
 	sch_commit_check_timeout(s);
 	sch_reschedule(s);
 	expire_job(s);
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -2,6 +2,7 @@
 #define SCHED_H
 
 #include <glib.h>
+#include <string.h>
 
 #include "../kv/kv.h"
 #include "../wire/wire.h"
@@ -72,6 +73,8 @@
 	guint max_ops;
 	/** A job's state is kept for this duration after its end. */
 	gint64 retention_ms;
+	/** Of the random part of Retry-After. */
+	guint32 seed;
 };
 
 enum sch_event_kind {
@@ -152,6 +155,40 @@
 /** Frees what the effect owns. */
 void sch_effect_clear(struct sch_effect *effect);
 
+/* retry_after.c: when a caller should repeat a call that could not be accepted.
+ */
+
+/** Earlier outages that are remembered. */
+#define SCH_EARLIER_OUTAGES 4
+
+/** A time in which no call can be accepted, and those before it. Times are boot
+ * clock in ms. */
+struct sch_outage {
+	/** Since when no call can be accepted; 0 while calls can be. */
+	gint64 since_ms;
+	/** The store has not responded since then, or not for all of it. */
+	gboolean store_silent;
+	/** When the store responded again; 0 if it did not. */
+	gint64 responds_since_ms;
+	/** How long earlier outages lasted, and how many there were. */
+	gint64 earlier_ms[SCH_EARLIER_OUTAGES];
+	guint n_earlier;
+	GRand *rand;
+};
+
+void sch_outage_init(struct sch_outage *outage, guint32 seed);
+void sch_outage_clear(struct sch_outage *outage);
+/** No call can be accepted since since_ms; without effect on the time of an
+ * outage that has begun. */
+void sch_outage_begin(struct sch_outage *outage, gint64 since_ms,
+		      gboolean store_responds);
+/** The store responds; calls may not be accepted yet. */
+void sch_outage_store_responds(struct sch_outage *outage, gint64 now_ms);
+/** Calls can be accepted. */
+void sch_outage_end(struct sch_outage *outage, gint64 now_ms);
+/** Returns the Retry-After of a call refused now, at least 1. */
+guint sch_outage_retry_after_s(struct sch_outage *outage, gint64 now_ms);
+
 /** Upper bounds of the histograms' buckets, ms; the last bucket has none. */
 #define SCH_BUCKETS 8
 extern const gint64 sch_bucket_bounds_ms[SCH_BUCKETS - 1];
--- a/sched/sched_test.c
+++ b/sched/sched_test.c
@@ -441,6 +441,33 @@
 }
 END_TEST
 
+/*
+ * Guards against callers of a leader without contact to the store that are told
+ * to come back after 1 s however long that has lasted, so that they use up
+ * their repeats.
+ */
+START_TEST(test_retry_after_grows)
+{
+	struct leader l;
+
+	setup(&l);
+	l.now_ms += 1400;
+	call(&l, RP__STEP_VERB__STEP_VERB_COUNT, "/q/", NULL);
+	ck_assert_uint_eq(l.status, 503);
+	ck_assert_uint_le(l.retry_after_s, 3);
+	l.now_ms += 4000;
+	tick(&l, 20);
+	call(&l, RP__STEP_VERB__STEP_VERB_COUNT, "/q/", NULL);
+	ck_assert_uint_eq(l.status, 503);
+	ck_assert_uint_eq(l.retry_after_s, 4);
+	confirm_leadership(&l);
+	call(&l, RP__STEP_VERB__STEP_VERB_COUNT, "/q/", NULL);
+	ck_assert_uint_eq(l.status, 200);
+	ck_assert_uint_eq(l.retry_after_s, 0);
+	teardown(&l);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("sched");
@@ -460,6 +487,7 @@
 	tcase_add_test(tcase, test_speculative_run_fails_after_task_is_done);
 	tcase_add_test(tcase, test_removed_queue);
 	tcase_add_test(tcase, test_damaged_records);
+	tcase_add_test(tcase, test_retry_after_grows);
 	suite_add_tcase(suite, tcase);
 	return fixture_run(suite);
 }
