platform: probe a store that does not respond

Cause: in an outage of the store each call is waited for until its timeout, which has grown to 2 s, and an entry without a leader makes one call at a time. So entries learned 1.0 and 1.7 s after the end of an outage of 4.7 s that the store responded again, and the election waited for that. Metric radishpier_kv_probes_total.

--- a/cell/entry.c
+++ b/cell/entry.c
@@ -745,6 +745,8 @@
 		      calls->watches);
 	obs_count_set(metrics, "radishpier_kv_calls_total",
 		      "kind=\"keepalive\"", calls->lease_keepalives);
+	obs_count_set(metrics, "radishpier_kv_probes_total", NULL,
+		      calls->probes);
 	obs_count_set(metrics, "radishpier_kv_failures_total", NULL,
 		      calls->failures);
 	if (entry->leading)
--- a/kv/kv.h
+++ b/kv/kv.h
@@ -128,6 +128,9 @@
 	guint64 lease_keepalives;
 	guint64 lease_revokes;
 	guint64 watches;
+	/** Reads that only show whether the store responds; also counted as
+	 * ranges. */
+	guint64 probes;
 	/** Bodies of requests and of answers. */
 	guint64 bytes_written;
 	guint64 bytes_read;
