--- a/cell/lead.c
+++ b/cell/lead.c
@@ -348,6 +348,7 @@
 		.retention_ms = RETENTION_MS,
 		.evacuation_ms = options->evacuation_ms,
 		.lost_zones = options->lost_zones,
+		.seed = g_random_int(),
 	};
 
 	lead->options = *options;
--- a/sched/leader_test.h
+++ b/sched/leader_test.h
@@ -21,6 +21,7 @@
 	/** What the workers' reports say; zone NULL for none. */
 	const char *zone;
 	gint64 cold_remaining_ms;
+	guint retry_after_s;
 };
 
 #define FENCING_TOKEN 9
@@ -55,6 +56,7 @@
 		l->status = e->reply.status;
 		l->state = e->reply.state;
 		l->waiting = e->reply.waiting;
+		l->retry_after_s = e->reply.retry_after_s;
 	}
 }
 
