sched: let short tasks prefer warm workers

Workers of a zone that is returned to service are slow for some time after their start and report how long that lasts (cold_remaining_ms). Short tasks, which are the urgent ones, went there first, since these workers have the most free capacity. Where zones can be evacuated, a cold worker now has a placement penalty for them that is proportional to the time left.

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -572,6 +572,9 @@
  * it is not known whether it is. */
 gboolean sch_zone_allows_starts(const struct sch *s, const struct sch_vm *vm);
 gboolean sch_zone_is_evacuated(const struct sch_vm *vm);
+/** Time for which the VM's worker is still slow after its start, s; 0 where
+ * zones cannot be evacuated. */
+double sch_zone_cold_s(const struct sch *s, const struct sch_vm *vm);
 /** Adds up to when the agent may send starts; clock_ms is a lower bound of the
  * worker's clock when the set of evacuated zones was last current. */
 void sch_zone_add_orders(const struct sch *s, const struct sch_vm *vm,
--- a/sched/place.c
+++ b/sched/place.c
@@ -62,6 +62,11 @@
 /** For a worker above SLOW_FACTOR, multiplied by its slowness. */
 #define SLOW_PENALTY 4.0
 
+/** For a worker that is cold after its start, multiplied by the seconds left,
+ * where zones can be evacuated: workers of a zone that is returned to service
+ * are cold. More than the difference that free CPUs make from 0.5 s on. */
+#define COLD_PENALTY 2.0
+
 /** For each of the worker's faults in a row. */
 #define FAULT_PENALTY 2.0
 
@@ -179,6 +184,10 @@
 	if (vm->slowness > SLOW_FACTOR &&
 	    s->now_ms < vm->slowness_updated_ms + SLOWNESS_TTL_MS)
 		score += SLOW_PENALTY * vm->slowness;
+	/* Only short tasks avoid cold workers: others outlast that, or are not
+	 * urgent. */
+	if (!step->target_ms && !step->lasts && !step->fills)
+		score += COLD_PENALTY * sch_zone_cold_s(s, vm);
 	return score + FAULT_PENALTY * vm->worker_faults;
 }
 
--- a/sched/zone.c
+++ b/sched/zone.c
@@ -27,6 +27,10 @@
  * that may be cold. */
 #define RETURN_MS 1000
 
+/** Longer times for which a worker is cold count as this, so that it is still
+ * preferred to a slow worker, which may stay slow (SLOW_PENALTY of place.c). */
+#define MAX_COLD_S 3.0
+
 /** Time after which an evacuated zone without VMs counts as unknown: a new
  * leader reaches all agents sooner. */
 #define UNKNOWN_AFTER_MS 5000
@@ -78,6 +82,13 @@
 	return vm->zone && vm->zone->evacuated;
 }
 
+double sch_zone_cold_s(const struct sch *s, const struct sch_vm *vm)
+{
+	if (!s->options.evacuation_ms || s->now_ms >= vm->cold_until_ms)
+		return 0;
+	return MIN((double)(vm->cold_until_ms - s->now_ms) / 1000, MAX_COLD_S);
+}
+
 static gboolean is_outdated(const struct sch *s)
 {
 	gint64 max_age_ms =
--- a/sched/zone_test.c
+++ b/sched/zone_test.c
@@ -223,6 +223,7 @@
 	clear_effects(&l);
 	set_zones(&l, vm->zone->name);
 	/* The agent is told at once. */
+	ck_assert_ptr_nonnull(orders_of(&l, vm->name));
 	ck_assert(orders_of(&l, vm->name)->evacuated);
 	ck_assert_int_eq(orders_of(&l, vm->name)->starts_until_ms, 0);
 	report_failed_start(&l, vm->name, "a.0.0.0", "evacuated");
@@ -378,6 +379,42 @@
 }
 END_TEST
 
+static const char *vm_of_short_task(gint64 evacuation_ms, gint64 after_ms)
+{
+	static const struct sch_event zones = { .kind = SCH_EVENT_EVACUATIONS };
+	struct sch_event ev = zones;
+	const char *name;
+	struct leader l;
+
+	setup_zones(&l, evacuation_ms, 0);
+	ev.confirmed_ms = l.now_ms;
+	reduce(&l, &ev);
+	add_vm_in(&l, "vm2", "a");
+	/* More of vm1 is reserved, so it is preferred if it is not cold. */
+	l.cold_remaining_ms = 1500;
+	add_vm_in(&l, "vm1", "a");
+	sch_vm_get(l.s, "vm1")->reserved.cpu_milli = 5000;
+	tick(&l, after_ms);
+	ev.confirmed_ms = l.now_ms;
+	reduce(&l, &ev);
+	confirm_leadership(&l);
+	submit_one_task(&l);
+	ck_assert_uint_eq(task(&l, "a.0.0.0")->n_runs, 1);
+	name = g_intern_string(task(&l, "a.0.0.0")->runs[0]->vm->name);
+	teardown(&l);
+	return name;
+}
+
+/* Guards against urgent tasks on a worker that is slow after its start, and
+ * against a worker that counts as cold for longer than it is. */
+START_TEST(test_short_task_avoids_cold_worker)
+{
+	ck_assert_str_eq(vm_of_short_task(5000, 0), "vm2");
+	ck_assert_str_eq(vm_of_short_task(5000, 1500), "vm1");
+	ck_assert_str_eq(vm_of_short_task(0, 0), "vm1");
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("zone");
@@ -393,6 +430,7 @@
 	tcase_add_test(tcase, test_unknown_zone_is_ignored);
 	tcase_add_test(tcase, test_zone_returns_in_stages);
 	tcase_add_test(tcase, test_zone_stats);
+	tcase_add_test(tcase, test_short_task_avoids_cold_worker);
 	tcase_add_test(tcase, test_no_evacuations_without_the_option);
 	suite_add_tcase(suite, tcase);
 	return fixture_run(suite);
