runs: test that a permission ends with session and incarnation

The test sent its orders to an incarnation that the agent had replaced, so it passed whatever the agent did. With the permission kept, it now fails in both cases.

--- a/runs/permit_test.c
+++ b/runs/permit_test.c
@@ -4,8 +4,9 @@
  * answer, and the reading of setup() was requested at 1000. */
 
 /* Orders of the leader, which limits starts, with the start of one run. */
-static void send_orders(struct agent *a, gboolean with_start,
-			gint64 starts_until_ms, gboolean evacuated)
+static void send_orders_to(struct agent *a, guint64 worker_started_ms,
+			   gboolean with_start, gint64 starts_until_ms,
+			   gboolean evacuated)
 {
 	struct Rp__VmOrders body;
 	struct Rp__RunStart start;
@@ -21,7 +22,7 @@
 	start.run = &name;
 	body.fence = 5;
 	body.worker_id = (char *)"w1";
-	body.worker_born_ms = 100;
+	body.worker_born_ms = worker_started_ms;
 	body.lease_until_ms = 12000;
 	body.starts_limited = TRUE;
 	body.starts_until_ms = starts_until_ms;
@@ -31,6 +32,12 @@
 	reduce(a, &ev);
 }
 
+static void send_orders(struct agent *a, gboolean with_start,
+			gint64 starts_until_ms, gboolean evacuated)
+{
+	send_orders_to(a, 100, with_start, starts_until_ms, evacuated);
+}
+
 /* The renewal in flight is answered; the worker lists no runs. */
 static void answer_renewal(struct agent *a)
 {
@@ -176,16 +183,22 @@
 
 	setup(&a);
 	send_orders(&a, FALSE, 90000, FALSE);
-	send_worker_info(&a, 300, FALSE);
-	answer_call(&a, call(&a, RUNS_CALL_RENEW_LEASE)->id, RUNS_OK, NULL,
-		    300);
-	clear_effects(&a);
-	send_worker_info(&a, 100, FALSE);
 	connect_leader(&a, 5);
 	answer_renewal(&a);
 	send_orders(&a, TRUE, 0, FALSE);
 	ck_assert_ptr_null(call(&a, RUNS_CALL_START));
 	teardown(&a);
+
+	setup(&a);
+	send_orders(&a, FALSE, 90000, FALSE);
+	send_worker_info(&a, 300, FALSE);
+	answer_call(&a, call(&a, RUNS_CALL_RENEW_LEASE)->id, RUNS_OK, NULL,
+		    300);
+	send_orders_to(&a, 300, TRUE, 0, FALSE);
+	ck_assert_ptr_null(call(&a, RUNS_CALL_START));
+	send_orders_to(&a, 300, FALSE, 9000, FALSE);
+	ck_assert_ptr_nonnull(call(&a, RUNS_CALL_START));
+	teardown(&a);
 }
 END_TEST
 
