sched: spread long-running steps and speculative runs over zones

On a deployment that has to tolerate the loss of a zone, a long-running step could have most of its tasks in one zone, and both runs of a speculative task could be lost together. With fault_tolerance.zones above 0, a zone that has its equal share of the step's tasks, and a rack that has any, now have a placement penalty, as has the zone and the rack of a speculative task's other run.

Latency-sensitive tasks are packed, which keeps whole VMs free of them. For these the penalty decides only between VMs that packing takes for equal but for their free CPUs, so no task takes a VM that would have stayed free, and no image joins another's VM.

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -85,6 +85,8 @@
 	gboolean checked;
 	/** While a step is placed: its tasks that have a run in the zone. */
 	guint n_step_tasks;
+	/** While a step is spread: it has a usable VM. */
+	gboolean is_usable;
 };
 
 /** A worker, and the VM that it runs on. Times are boot clock in ms. */
@@ -440,6 +442,10 @@
 	/** While a latency-sensitive step is placed: the usable VMs without any
 	 * latency-sensitive task. */
 	guint n_vms_without_sensitive;
+	/** While a step is spread: equal share of its tasks of a zone, and the
+	 * number of its runs by rack. */
+	guint zone_share;
+	GHashTable *rack_tasks;
 	guint n_pending_calls;
 	/** No pending call has an earlier deadline. */
 	gint64 first_call_deadline_ms;
@@ -556,6 +562,19 @@
 /** As sch_vm_is_usable(), without regard to its zone. */
 gboolean sch_vm_is_usable_in_zone(const struct sch *s, const struct sch_vm *vm);
 
+/* spread.c */
+/** TRUE if the run of the task to be placed is spread over zones. */
+gboolean sch_spread_applies(const struct sch *s, const struct sch_task *task);
+/** Counts what sch_spread_penalty() needs for the tasks of a step. */
+void sch_spread_prepare(struct sch *s,
+			const struct sch_step_instance *instance);
+/** Counts another run of the step. */
+void sch_spread_add_run(struct sch *s, const struct sch_task *task,
+			const struct sch_vm *vm);
+/** Added to the placement score, between VMs that are equal for packing. */
+double sch_spread_penalty(const struct sch *s, const struct sch_task *task,
+			  const struct sch_vm *vm);
+
 /* zone.c */
 void sch_zone_free(gpointer zone);
 /** Sets the VM's zone and temperature from the worker's description. */
--- a/sched/leader_test.h
+++ b/sched/leader_test.h
@@ -18,8 +18,9 @@
 	guint status;
 	Rp__JobState state;
 	guint waiting;
-	/** What the workers' reports say; zone NULL for none. */
+	/** What the workers' reports say; NULL for none. */
 	const char *zone;
+	const char *rack;
 	gint64 cold_remaining_ms;
 };
 
@@ -195,6 +196,7 @@
 	info.born_ms = worker_started_ms;
 	info.pool = (char *)"p";
 	info.zone = (char *)(l->zone ? l->zone : "");
+	info.rack = (char *)(l->rack ? l->rack : "");
 	info.cold_remaining_ms = l->cold_remaining_ms;
 	info.capacity = &capacity;
 	body.fence = fencing_token;
--- a/sched/place.c
+++ b/sched/place.c
@@ -191,14 +191,17 @@
 	return score + FAULT_PENALTY * vm->worker_faults;
 }
 
-/* Counts what base_score() needs for a step; to be called before it. */
-static void prepare_scores(struct sch *s, const struct Rp__StepSpec *step)
+/* Counts what base_score() and spreading need for a step; to be called before
+ * them. */
+static void prepare_scores(struct sch *s,
+			   const struct sch_step_instance *instance)
 {
 	GHashTableIter iter;
 	gpointer value;
 
+	sch_spread_prepare(s, instance);
 	s->n_vms_without_sensitive = 0;
-	if (!step->target_ms)
+	if (!instance->step->target_ms)
 		return;
 	g_hash_table_iter_init(&iter, s->vms);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -241,6 +244,52 @@
 			       demand.interference <= MAX_HEADROOM_PART));
 }
 
+/* TRUE if packing of latency-sensitive tasks prefers neither VM but for its
+ * free CPUs, so that spreading may decide between them. */
+static gboolean is_equal_for_packing(const struct sch_task *task,
+				     const struct sch_vm *a,
+				     const struct sch_vm *b)
+{
+	const struct Rp__StepSpec *step = task->instance->step;
+
+	return !step->target_ms ||
+	       (!a->n_latency_sensitive == !b->n_latency_sensitive &&
+		count_other_sensitive(a, step->image) ==
+			count_other_sensitive(b, step->image));
+}
+
+/* Returns the index in s->placements, which is not empty, of the one with the
+ * lowest score for the task, or one that spreads tasks better. */
+static guint pick(const struct sch *s, const struct sch_task *task)
+{
+	const struct sch_placement *list =
+		(const struct sch_placement *)s->placements->data;
+	guint best = 0;
+	guint spread;
+	double spread_score;
+	guint i;
+
+	for (i = 1; i < s->placements->len; i++)
+		if (list[i].score < list[best].score)
+			best = i;
+	if (!sch_spread_applies(s, task))
+		return best;
+	spread = best;
+	spread_score = list[best].score +
+		       sch_spread_penalty(s, task, list[best].vm);
+	for (i = 0; i < s->placements->len; i++) {
+		double score = list[i].score +
+			       sch_spread_penalty(s, task, list[i].vm);
+
+		if (score >= spread_score ||
+		    !is_equal_for_packing(task, list[i].vm, list[best].vm))
+			continue;
+		spread = i;
+		spread_score = score;
+	}
+	return spread;
+}
+
 /*
  * Returns the VM with the lowest score for a single task, or NULL. Used for
  * retries, speculative runs, gang members and tasks that may interfere, since
@@ -254,14 +303,13 @@
 	double min_share = may_interfere(s, task) ? 0 : MIN_BEST_EFFORT_SHARE;
 	GHashTableIter iter;
 	gpointer value;
-	struct sch_vm *best = NULL;
-	double best_score = 0;
-	double score;
 
-	prepare_scores(s, step);
+	prepare_scores(s, task->instance);
+	g_array_set_size(s->placements, 0);
 	g_hash_table_iter_init(&iter, s->vms);
 	while (queue && g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct sch_vm *vm = value;
+		struct sch_placement placement = { .vm = value };
+		struct sch_vm *vm = placement.vm;
 
 		/* Retries avoid workers with faults, since a job fails after
 		 * max_attempts failures of a task. Failures of long-running
@@ -269,22 +317,23 @@
 		if ((task->n_runs && task->runs[0]->vm == vm) ||
 		    (vm->worker_faults && task->failures && !step->lasts) ||
 		    !can_place(s, task->instance, queue, rack, min_share, vm,
-			       &score))
+			       &placement.score))
 			continue;
 		if (!g_strcmp0(vm->name, task->last_failed_vm))
-			score += FAILED_HERE_PENALTY;
-		if (best && score >= best_score)
-			continue;
-		best = vm;
-		best_score = score;
+			placement.score += FAILED_HERE_PENALTY;
+		g_array_append_val(s->placements, placement);
 	}
-	return best;
+	if (!s->placements->len)
+		return NULL;
+	return g_array_index(s->placements, struct sch_placement, pick(s, task))
+		.vm;
 }
 
 static void plan(struct sch *s, struct sch_task *task, struct sch_vm *vm,
 		 guint32 attempt)
 {
 	sch_run_new(s, task, vm, attempt);
+	sch_spread_add_run(s, task, vm);
 	sch_job_mark_awaited(s, task->job);
 }
 
@@ -400,7 +449,7 @@
 	gpointer value;
 
 	g_array_set_size(s->placements, 0);
-	prepare_scores(s, instance->step);
+	prepare_scores(s, instance);
 	g_hash_table_iter_init(&iter, s->vms);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct sch_placement placement = { .vm = value };
@@ -418,18 +467,12 @@
 static gboolean plan_best(struct sch *s, struct sch_task *task,
 			  const struct sch_queue *queue)
 {
-	guint best = 0;
 	struct sch_placement *placement;
-	guint i;
+	guint best;
 
 	if (!s->placements->len)
 		return FALSE;
-	for (i = 1; i < s->placements->len; i++)
-		if (g_array_index(s->placements, struct sch_placement, i)
-			    .score <
-		    g_array_index(s->placements, struct sch_placement, best)
-			    .score)
-			best = i;
+	best = pick(s, task);
 	placement = &g_array_index(s->placements, struct sch_placement, best);
 	plan(s, task, placement->vm, task->attempts + 1);
 	if (!can_place(s, task->instance, queue, NULL, MIN_BEST_EFFORT_SHARE,
--- a/sched/place_test.c
+++ b/sched/place_test.c
@@ -1,7 +1,7 @@
 #include "leader_test.h"
 
-/* Tests of order.c, place.c, interfere.c and the quarantine of vm.c: which
- * tasks start first, and on which VMs. */
+/* Tests of order.c, place.c, interfere.c and fault.c: which tasks start first,
+ * and on which VMs. */
 
 /*
  * Guards against a gang of which only some members start, because not all fit:
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -77,6 +77,8 @@
 					     g_free);
 	s->queue_names = g_hash_table_new(g_str_hash, g_str_equal);
 	s->placements = g_array_new(FALSE, FALSE, sizeof(struct sch_placement));
+	s->rack_tasks = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					      NULL);
 	s->colo = colo_table_new();
 	s->best_effort_cpu_share = 1;
 	s->vms_with_orders = g_ptr_array_new();
@@ -93,6 +95,7 @@
 		g_ptr_array_unref(s->commit);
 	g_hash_table_unref(s->vms);
 	g_hash_table_unref(s->zones);
+	g_hash_table_unref(s->rack_tasks);
 	g_queue_clear(&s->dirty);
 	g_queue_clear(&s->awaited);
 	g_queue_clear(&s->ended);
