runs: bound the age of readings of the worker's clock

The agent kept the lowest bound of the worker's clock of the whole incarnation. A rate error of the clocks, which is small within a lease, would add up over hours: 100 parts per million are 3.6 s after 10 hours, by which starts would be permitted too long. A bound that is older than 10 s is now replaced by the next reading.

--- a/runs/internal.h
+++ b/runs/internal.h
@@ -76,8 +76,9 @@
 	/** Starts are permitted until then, worker's clock; 0 for none. */
 	gint64 until_ms;
 	/** A reading of the worker's clock minus the boot clock when it was
-	 * requested, the lowest of this incarnation. */
+	 * requested, the lowest of recent ones, and when it was read. */
 	gint64 clock_offset_ms;
+	gint64 clock_read_ms;
 	gboolean has_clock;
 	/** A start has waited for the permission since then; 0 for none. */
 	gint64 waiting_since_ms;
--- a/runs/permit.c
+++ b/runs/permit.c
@@ -11,9 +11,13 @@
  *
  * A worker's clock runs at most as fast as the boot clock. So a reading c that
  * was requested at t means that it shows at most c + (now - t), and the lowest
- * c - t of all readings gives the best bound.
+ * c - t of recent readings gives the best bound.
  */
 
+/** Age at which a reading of the worker's clock is replaced by any later one,
+ * so that a small error of the clocks' rates does not add up. */
+#define CLOCK_MAX_AGE_MS 10000
+
 void runs_permission_apply(struct runs *r, const struct Rp__VmOrders *orders)
 {
 	struct runs_permission *permission = &r->permission;
@@ -52,8 +56,11 @@
 
 	if (!clock_ms)
 		return;
-	if (!permission->has_clock || offset_ms < permission->clock_offset_ms)
-		permission->clock_offset_ms = offset_ms;
+	if (permission->has_clock && offset_ms > permission->clock_offset_ms &&
+	    r->now_ms < permission->clock_read_ms + CLOCK_MAX_AGE_MS)
+		return;
+	permission->clock_offset_ms = offset_ms;
+	permission->clock_read_ms = r->now_ms;
 	permission->has_clock = TRUE;
 }
 
