sched: extend the permissions to start once the zones are known again

After an election or an outage of the store, starts that wait in the agents were only permitted by the next regular orders, up to 900 ms later. Now orders are sent to all agents as soon as the set of evacuated zones is known to be current.

--- a/sched/zone.c
+++ b/sched/zone.c
@@ -228,20 +228,33 @@
 	return NULL;
 }
 
+/* Lets the agents send the starts that wait for a permission. */
+static void extend_permissions(struct sch *s)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, s->vms);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct sch_vm *vm = value;
+
+		vm->zone_due = TRUE;
+		sch_vm_note_orders(s, vm);
+		sch_vm_changed(s, vm);
+	}
+}
+
 /* Logs when the set becomes too old, or is current again. */
 static void note_age(struct sch *s)
 {
 	gboolean outdated = is_outdated(s);
-	GHashTableIter iter;
-	gpointer value;
 
 	if (outdated == s->zones_outdated)
 		return;
 	s->zones_outdated = outdated;
 	s->place_due = TRUE;
-	g_hash_table_iter_init(&iter, s->vms);
-	while (!outdated && g_hash_table_iter_next(&iter, NULL, &value))
-		sch_vm_changed(s, value);
+	if (!outdated)
+		extend_permissions(s);
 	if (!s->zones_confirmed_ms)
 		g_message("starts wait: the evacuated zones are not known yet");
 	else if (outdated)
--- a/sched/zone_test.c
+++ b/sched/zone_test.c
@@ -163,7 +163,10 @@
 	submit_one_task(&l);
 	ck_assert_uint_eq(l.status, 200);
 	ck_assert_uint_eq(l.s->stats.runs, 0);
+	clear_effects(&l);
 	set_zones(&l, "");
+	/* Starts that wait in the agents are permitted at once. */
+	ck_assert_ptr_nonnull(orders_of(&l, "vm1"));
 	commit(&l);
 	ck_assert_uint_eq(l.s->stats.runs, 1);
 	teardown(&l);
