--- a/sched/zone_test.c
+++ b/sched/zone_test.c
@@ -241,6 +241,45 @@
 }
 END_TEST
 
+/* Guards against a gang of which only the members outside the zone start: they
+ * would wait for the others. */
+START_TEST(test_gang_is_withdrawn_as_a_whole)
+{
+	struct leader l;
+	struct Rp__StepSpec step;
+	struct Rp__Resources need;
+	struct Rp__StepSpec *steps[] = { &step };
+	struct sch_event ev = { .kind = SCH_EVENT_COMMITTED };
+
+	setup_two_zones(&l);
+	init_step(&step, &need, 2, 6000);
+	step.gang = TRUE;
+	submit(&l, "/q/a", steps, 1);
+	tick(&l, 200);
+	ev.revision = ++l.revision;
+	reduce(&l, &ev);
+	tick(&l, 200);
+	ck_assert_uint_eq(n_runs(&l, "vm1"), 1);
+	ck_assert_uint_eq(n_runs(&l, "vm2"), 1);
+	clear_effects(&l);
+	set_zones(&l, "a");
+	ev.revision = ++l.revision;
+	reduce(&l, &ev);
+	commit(&l);
+	ck_assert_uint_eq(count_orders(&l, FALSE), 0);
+	ck_assert_uint_eq(l.s->stats.runs, 0);
+	set_zones(&l, "a");
+	l.zone = "b";
+	report(&l, "vm2", 50, NULL, 0);
+	add_vm(&l, "vm3");
+	commit(&l);
+	ck_assert_uint_eq(n_runs(&l, "vm2"), 1);
+	ck_assert_uint_eq(n_runs(&l, "vm3"), 1);
+	ck_assert_uint_eq(count_orders(&l, FALSE), 2);
+	teardown(&l);
+}
+END_TEST
+
 /* Guards against the stop of what runs in the zone. */
 START_TEST(test_running_task_continues)
 {
@@ -428,6 +467,7 @@
 	tcase_add_test(tcase, test_nothing_starts_by_an_old_set);
 	tcase_add_test(tcase, test_planned_run_is_removed);
 	tcase_add_test(tcase, test_withdrawn_start_goes_elsewhere);
+	tcase_add_test(tcase, test_gang_is_withdrawn_as_a_whole);
 	tcase_add_test(tcase, test_running_task_continues);
 	tcase_add_test(tcase, test_permission_counts_from_the_confirmation);
 	tcase_add_test(tcase, test_unknown_zone_is_ignored);
