--- a/sched/zone_test.c
+++ b/sched/zone_test.c
@@ -163,7 +163,10 @@
 	submit_one_task(&l);
 	ck_assert_uint_eq(l.status, 200);
 	ck_assert_uint_eq(l.s->stats.runs, 0);
+	clear_effects(&l);
 	set_zones(&l, "");
+	/* Starts that wait in the agents are permitted at once. */
+	ck_assert_ptr_nonnull(orders_of(&l, "vm1"));
 	commit(&l);
 	ck_assert_uint_eq(l.s->stats.runs, 1);
 	teardown(&l);
@@ -223,6 +226,7 @@
 	clear_effects(&l);
 	set_zones(&l, vm->zone->name);
 	/* The agent is told at once. */
+	ck_assert_ptr_nonnull(orders_of(&l, vm->name));
 	ck_assert(orders_of(&l, vm->name)->evacuated);
 	ck_assert_int_eq(orders_of(&l, vm->name)->starts_until_ms, 0);
 	report_failed_start(&l, vm->name, "a.0.0.0", "evacuated");
@@ -237,6 +241,45 @@
 }
 END_TEST
 
+/* Guards against a gang of which only the members outside the zone start: they
+ * would wait for the others. */
+START_TEST(test_gang_is_withdrawn_as_a_whole)
+{
+	struct leader l;
+	struct Rp__StepSpec step;
+	struct Rp__Resources need;
+	struct Rp__StepSpec *steps[] = { &step };
+	struct sch_event ev = { .kind = SCH_EVENT_COMMITTED };
+
+	setup_two_zones(&l);
+	init_step(&step, &need, 2, 6000);
+	step.gang = TRUE;
+	submit(&l, "/q/a", steps, 1);
+	tick(&l, 200);
+	ev.revision = ++l.revision;
+	reduce(&l, &ev);
+	tick(&l, 200);
+	ck_assert_uint_eq(n_runs(&l, "vm1"), 1);
+	ck_assert_uint_eq(n_runs(&l, "vm2"), 1);
+	clear_effects(&l);
+	set_zones(&l, "a");
+	ev.revision = ++l.revision;
+	reduce(&l, &ev);
+	commit(&l);
+	ck_assert_uint_eq(count_orders(&l, FALSE), 0);
+	ck_assert_uint_eq(l.s->stats.runs, 0);
+	set_zones(&l, "a");
+	l.zone = "b";
+	report(&l, "vm2", 50, NULL, 0);
+	add_vm(&l, "vm3");
+	commit(&l);
+	ck_assert_uint_eq(n_runs(&l, "vm2"), 1);
+	ck_assert_uint_eq(n_runs(&l, "vm3"), 1);
+	ck_assert_uint_eq(count_orders(&l, FALSE), 2);
+	teardown(&l);
+}
+END_TEST
+
 /* Guards against the stop of what runs in the zone. */
 START_TEST(test_running_task_continues)
 {
@@ -378,6 +421,42 @@
 }
 END_TEST
 
+static const char *vm_of_short_task(gint64 evacuation_ms, gint64 after_ms)
+{
+	static const struct sch_event zones = { .kind = SCH_EVENT_EVACUATIONS };
+	struct sch_event ev = zones;
+	const char *name;
+	struct leader l;
+
+	setup_zones(&l, evacuation_ms, 0);
+	ev.confirmed_ms = l.now_ms;
+	reduce(&l, &ev);
+	add_vm_in(&l, "vm2", "a");
+	/* More of vm1 is reserved, so it is preferred if it is not cold. */
+	l.cold_remaining_ms = 1500;
+	add_vm_in(&l, "vm1", "a");
+	sch_vm_get(l.s, "vm1")->reserved.cpu_milli = 5000;
+	tick(&l, after_ms);
+	ev.confirmed_ms = l.now_ms;
+	reduce(&l, &ev);
+	confirm_leadership(&l);
+	submit_one_task(&l);
+	ck_assert_uint_eq(task(&l, "a.0.0.0")->n_runs, 1);
+	name = g_intern_string(task(&l, "a.0.0.0")->runs[0]->vm->name);
+	teardown(&l);
+	return name;
+}
+
+/* Guards against urgent tasks on a worker that is slow after its start, and
+ * against a worker that counts as cold for longer than it is. */
+START_TEST(test_short_task_avoids_cold_worker)
+{
+	ck_assert_str_eq(vm_of_short_task(5000, 0), "vm2");
+	ck_assert_str_eq(vm_of_short_task(5000, 1500), "vm1");
+	ck_assert_str_eq(vm_of_short_task(0, 0), "vm1");
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("zone");
@@ -388,11 +467,13 @@
 	tcase_add_test(tcase, test_nothing_starts_by_an_old_set);
 	tcase_add_test(tcase, test_planned_run_is_removed);
 	tcase_add_test(tcase, test_withdrawn_start_goes_elsewhere);
+	tcase_add_test(tcase, test_gang_is_withdrawn_as_a_whole);
 	tcase_add_test(tcase, test_running_task_continues);
 	tcase_add_test(tcase, test_permission_counts_from_the_confirmation);
 	tcase_add_test(tcase, test_unknown_zone_is_ignored);
 	tcase_add_test(tcase, test_zone_returns_in_stages);
 	tcase_add_test(tcase, test_zone_stats);
+	tcase_add_test(tcase, test_short_task_avoids_cold_worker);
 	tcase_add_test(tcase, test_no_evacuations_without_the_option);
 	suite_add_tcase(suite, tcase);
 	return fixture_run(suite);
