cell: look up a transaction whose answer is late

Cause: a transaction that took effect, but whose answer is lost or late, was waited for until its timeout (130 ms at first, doubling) and then sent again. Callers of urgent jobs have 250 to 300 ms. Measured: with the answer 1,000 ms late, test_late_transaction_is_looked_up fails without the read (1,007 ms) and passes with it. test_late_answer_to_earlier_transaction fails in 2 of 2 runs without the comparison of the number (a job is reported as accepted that is not stored) and passes in 3 of 3 with it.

--- a/cell/cell_test.c
+++ b/cell/cell_test.c
@@ -182,6 +182,55 @@
 }
 END_TEST
 
+/* Guards against callers whose call reaches its timeout with an unknown
+ * outcome, since the answer to the transaction that accepts their job is lost
+ * or late although it took effect. */
+START_TEST(test_late_transaction_is_looked_up)
+{
+	struct cell cell;
+	gint64 begin_ms;
+
+	setup(&cell);
+	wait_ready(&cell, 0);
+	wait_ready(&cell, 1);
+	cell.kv.txn_delay_ms = 1000;
+	begin_ms = net_now_ms();
+	ck_assert_uint_eq(submit(&cell, 0, "/b/l1"), 200);
+	ck_assert_int_lt(net_now_ms() - begin_ms, 1000);
+	cell.kv.lose_txns = 1;
+	ck_assert_uint_eq(submit(&cell, 1, "/b/l2"), 200);
+	wait_state(&cell, 0, "/b/l1", RP__JOB_STATE__JOB_STATE_DONE);
+	wait_state(&cell, 1, "/b/l2", RP__JOB_STATE__JOB_STATE_DONE);
+	ck_assert_uint_eq(cell.starts, 8);
+	teardown(&cell);
+}
+END_TEST
+
+/* Guards against a job that is reported as accepted although its transaction
+ * never took effect, since the late answer to an earlier transaction, whose
+ * outcome was looked up, is taken as that to this one. */
+START_TEST(test_late_answer_to_earlier_transaction)
+{
+	struct cell cell;
+	int leader;
+
+	setup(&cell);
+	wait_ready(&cell, 0);
+	wait_ready(&cell, 1);
+	leader = leading_entry(&cell);
+	cell.kv.txn_delay_ms = 1000;
+	ck_assert_uint_eq(submit(&cell, leader, "/b/l3"), 200);
+	cell.kv.down = TRUE;
+	begin_submit(&cell, leader, "/b/l4");
+	run_loop_ms(&cell, 1800);
+	ck_assert(!cell.answered || cell.status != 200);
+	cell.kv.down = FALSE;
+	cell.kv.txn_delay_ms = 0;
+	wait_state(&cell, leader, "/b/l3", RP__JOB_STATE__JOB_STATE_DONE);
+	teardown(&cell);
+}
+END_TEST
+
 /* Replaces the entries by a small and a large one, of which the second starts
  * later. */
 static void setup_unequal(struct cell *cell, int second, gint64 delay_ms)
@@ -433,6 +482,8 @@
 	tcase_add_test(tcase, test_leader_is_killed);
 	tcase_add_test(tcase, test_store_unavailable);
 	tcase_add_test(tcase, test_retry_after_without_leader);
+	tcase_add_test(tcase, test_late_transaction_is_looked_up);
+	tcase_add_test(tcase, test_late_answer_to_earlier_transaction);
 	tcase_add_test(tcase, test_larger_entry_is_elected);
 	tcase_add_test(tcase, test_small_leader_hands_over);
 	tcase_add_test(tcase, test_submission_survives_leader);
--- a/cell/internal.h
+++ b/cell/internal.h
@@ -185,6 +185,27 @@
 /** TRUE if the process has too little CPU for its load. */
 gboolean cell_lag_is_behind(const struct cell_lag *lag);
 
+/* late.c: when the outcome of a transaction is looked up. */
+
+/** The transaction in flight, and how long others took; all 0 at first. */
+struct cell_late {
+	double mean_ms;
+	/** When the one in flight was sent; boot clock. */
+	gint64 sent_ms;
+	/** When its outcome is to be looked up; 0 if none is in flight. */
+	gint64 due_ms;
+	/** Time between the last two of these. */
+	gint64 wait_ms;
+};
+
+void cell_late_sent(struct cell_late *late, gint64 now_ms);
+/** The transaction in flight was answered. */
+void cell_late_answered(struct cell_late *late, gint64 now_ms);
+/** It has ended in another way. */
+void cell_late_lost(struct cell_late *late);
+/** TRUE if the outcome is to be looked up now. */
+gboolean cell_late_take(struct cell_late *late, gint64 now_ms);
+
 /* store.c: leader election and records in the key-value store. */
 struct cell_store;
 
--- a/cell/store.c
+++ b/cell/store.c
@@ -100,6 +100,9 @@
 	/** The transaction, or the check of its outcome, is in flight. */
 	gboolean txn_sent;
 	gint64 txn_next_ms;
+	/** How late its answer is, and whether its outcome is being read. */
+	struct cell_late late;
+	gboolean looking_up;
 	/** A call of the election or the read of the records is in flight. */
 	gboolean busy;
 	/** The leader's key was absent when last read, for long enough. */
@@ -138,6 +141,8 @@
 	/** Value of store->depositions when the call was sent. */
 	guint depositions;
 	gint64 sent_ms;
+	/** Of a transaction of the leader, or of a read of its outcome. */
+	guint64 commit_number;
 	/** The watch that the call reads for, or NULL. */
 	struct store_watch *watch;
 };
@@ -149,6 +154,7 @@
 	ctx->store = store;
 	ctx->depositions = store->depositions;
 	ctx->sent_ms = store->now_ms;
+	ctx->commit_number = store->commit_number;
 	g_hash_table_add(store->open_calls, ctx);
 	return ctx;
 }
@@ -202,6 +208,8 @@
 		kv_txn_free(store->txn);
 	store->txn = NULL;
 	store->txn_sent = FALSE;
+	store->looking_up = FALSE;
+	cell_late_lost(&store->late);
 	stop_watches(store);
 	if (was_elected)
 		store->handler.on_deposed(store->handler.ctx);
@@ -494,10 +502,37 @@
 	kv_txn_free(store->txn);
 	store->txn = NULL;
 	store->txn_sent = FALSE;
+	cell_late_lost(&store->late);
 	store->commit_revision = revision;
 	store->handler.on_committed(store->handler.ctx, (guint64)revision);
 }
 
+/* TRUE if the call is of the transaction that is to be committed. The outcome
+ * of an earlier one may have been looked up before its answer came. */
+static gboolean is_of_txn(const struct call_ctx *ctx)
+{
+	return ctx->store->txn &&
+	       ctx->commit_number == ctx->store->commit_number;
+}
+
+/* Returns the revision at which the transaction took effect, or 0 if the commit
+ * key has the number of another one. */
+static gint64 revision_of_txn(const struct cell_store *store,
+			      const GPtrArray *pairs)
+{
+	g_autofree char *value = commit_value(store);
+	const struct kv_pair *pair = pairs->len ? pairs->pdata[0] : NULL;
+	const char *data;
+	gsize len;
+
+	if (!pair)
+		return 0;
+	data = g_bytes_get_data(pair->value, &len);
+	if (len != strlen(value) || memcmp(data, value, len) != 0)
+		return 0;
+	return pair->mod_revision;
+}
+
 /* Checks why the comparisons of the transaction failed: an earlier send of it
  * took effect, or this process is no longer the leader. */
 static void on_commit_key_read(void *arg, const GPtrArray *pairs,
@@ -506,28 +541,53 @@
 {
 	g_autofree struct call_ctx *ctx = arg;
 	struct cell_store *store = ctx->store;
-	const struct kv_pair *pair;
-	g_autofree char *value = NULL;
-	gsize len;
+	gint64 took_effect_at;
 
-	if (end_call(ctx) || !store->txn)
+	if (end_call(ctx) || !is_of_txn(ctx))
 		return;
 	if (error) {
 		store->txn_sent = FALSE;
 		store->txn_next_ms = store->now_ms + RETRY_MS;
 		return;
 	}
-	value = commit_value(store);
-	pair = pairs->len ? pairs->pdata[0] : NULL;
-	if (pair) {
-		const char *data = g_bytes_get_data(pair->value, &len);
+	took_effect_at = revision_of_txn(store, pairs);
+	if (took_effect_at)
+		finish_commit(store, took_effect_at);
+	else
+		depose(store, "the conditions of its transaction failed");
+}
 
-		if (len == strlen(value) && !memcmp(data, value, len)) {
-			finish_commit(store, pair->mod_revision);
-			return;
-		}
-	}
-	depose(store, "the conditions of its transaction failed");
+static void on_looked_up(void *arg, const GPtrArray *pairs,
+			 gint64 revision G_GNUC_UNUSED, const GError *error)
+{
+	g_autofree struct call_ctx *ctx = arg;
+	struct cell_store *store = ctx->store;
+	gint64 took_effect_at;
+
+	if (end_call(ctx))
+		return;
+	store->looking_up = FALSE;
+	if (error || !is_of_txn(ctx))
+		return;
+	/* One that has not taken effect may still do so. */
+	took_effect_at = revision_of_txn(store, pairs);
+	if (!took_effect_at)
+		return;
+	g_info("transaction %" G_GUINT64_FORMAT " took effect, its answer is "
+	       "%" G_GINT64_FORMAT " ms late",
+	       store->commit_number, store->now_ms - store->late.sent_ms);
+	finish_commit(store, took_effect_at);
+}
+
+/* Looks up the outcome of the transaction if its answer is late. */
+static void look_up_txn(struct cell_store *store)
+{
+	if (!store->txn || store->looking_up ||
+	    !cell_late_take(&store->late, store->now_ms))
+		return;
+	store->looking_up = TRUE;
+	store->kv->ops->range(store->kv, CELL_COMMIT_KEY, TRUE, 0, on_looked_up,
+			      call_ctx_new(store));
 }
 
 static void on_txn(void *arg, const struct kv_txn_result *result,
@@ -536,8 +596,10 @@
 	g_autofree struct call_ctx *ctx = arg;
 	struct cell_store *store = ctx->store;
 
-	if (end_call(ctx) || !store->txn)
+	if (end_call(ctx) || !is_of_txn(ctx))
 		return;
+	if (!error)
+		cell_late_answered(&store->late, store->now_ms);
 	if (error) {
 		g_info("transaction %" G_GUINT64_FORMAT
 		       " will be sent again: %s",
@@ -558,6 +620,7 @@
 	    store->now_ms < store->txn_next_ms)
 		return;
 	store->txn_sent = TRUE;
+	cell_late_sent(&store->late, store->now_ms);
 	store->kv->ops->txn(store->kv, store->txn, on_txn, call_ctx_new(store));
 }
 
@@ -804,6 +867,7 @@
 		if (store->state != STORE_LEADING)
 			break;
 		send_txn(store);
+		look_up_txn(store);
 		for (i = 0; i < N_WATCHES; i++)
 			read_watched_keys(&store->watches[i]);
 		break;
