cell: hold also reads of the outcome in the tests of replies

Cause: since the previous commit the leader reads the commit key while a transaction is unanswered, so it learned before the end of TXN_HELD_MS that the job of test_reply_to_an_ended_process was stored, and the test, whose transaction takes effect at once, failed (200 instead of 503). Change: the stand-in store answers reads of the commit key as late as transactions where a test asks for it. The assertions are as they were.

--- a/cell/fake_kv_test.h
+++ b/cell/fake_kv_test.h
@@ -31,6 +31,9 @@
 	int delay_ms;
 	/** Added to the delay of answers to transactions. */
 	int txn_delay_ms;
+	/** Reads of this key are answered as late as transactions, so that they
+	 * don't show the outcome of one earlier; NULL for none. */
+	const char *late_key;
 	/** Number of next transactions that are executed, but fail with
 	 * KV_ERROR_UNKNOWN as if their answer was lost. */
 	int lose_txns;
@@ -246,7 +249,9 @@
 			      void *ctx)
 {
 	struct fake_kv *fake = (struct fake_kv *)kv;
-	struct fake_call *call = fake_call_new(fake, ctx);
+	gboolean is_late = fake->late_key && !strcmp(prefix, fake->late_key);
+	struct fake_call *call = fake_call_new_delayed(
+		fake, ctx, fake->delay_ms + (is_late ? fake->txn_delay_ms : 0));
 	g_autoptr(GList) keys = g_list_sort(g_hash_table_get_keys(fake->items),
 					    (GCompareFunc)strcmp);
 	GList *k;
--- a/cell/reply_test.c
+++ b/cell/reply_test.c
@@ -8,9 +8,9 @@
 /* Replies to calls that an entry forwards, when processes and connections end
  * while the leader owes them. */
 
-/* Time for which the store keeps a transaction's answer in tests of calls whose
- * connection ends meanwhile. With a longer one the store would count as
- * unavailable. */
+/* Time for which the store keeps a transaction's answer, and what it reads of
+ * its outcome, in tests of calls whose connection ends meanwhile. With a longer
+ * one the store would count as unavailable. */
 #define TXN_HELD_MS 600
 
 /* Guards against the reply to a call of an entry's ended process reaching a
@@ -25,6 +25,7 @@
 	wait_ready(&cell, 1);
 	other = following_entry(&cell);
 	cell.kv.txn_delay_ms = TXN_HELD_MS;
+	cell.kv.late_key = CELL_COMMIT_KEY;
 	begin_submit(&cell, other, "/b/r1");
 	run_loop_ms(&cell, 50);
 	cell_entry_free(cell.entries[other]);
@@ -62,6 +63,7 @@
 	other = following_entry(&cell);
 	address = address_of(&cell, entry_names[other]);
 	cell.kv.txn_delay_ms = TXN_HELD_MS;
+	cell.kv.late_key = CELL_COMMIT_KEY;
 	begin_submit(&cell, other, "/b/r3");
 	run_loop_ms(&cell, 50);
 	set_address(&cell, entry_names[other], "entry", "127.0.0.1:1");
