cell: hand over when the store refuses only the leader's calls

Cause: a leader whose calls the store refused (429) for 2 s, while it served all others, went on leading until its lease expired, and no job was accepted. Change: a leader whose calls were all refused for 700 ms hands over to an entry that the store serves. An entry whose last read of the leader's key was refused says at once that it cannot lead, so nothing is handed over if the store refuses all. A refused transaction does not hold the hand-over up: the next leader finds in the records whether it took effect. The leader's key remains if its revocation is refused too, so the successor deletes it, at the revision of the leader that named it, once that has closed its connection. No order of the former leader takes effect after the next one's sessions begin, as after any other removal of the key.

--- a/cell/candidacy.c
+++ b/cell/candidacy.c
@@ -5,7 +5,8 @@
  * may be of unequal size: on a large pool the smaller ones fall behind with
  * orders, answers and tables. So smaller entries seek to lead later than larger
  * ones, and a leader hands over to an entry that is clearly larger, or to
- * another one when it falls behind itself, as on a VM that turns slow.
+ * another one when it falls behind itself, as on a VM that turns slow, or when
+ * the store refuses only its own calls.
  */
 
 /** CPU limit with which an entry seeks to lead at once while it does not know
@@ -34,6 +35,12 @@
  * number of changes when no entry can carry the load. */
 #define BEHIND_MIN_TENURE_MS 15000
 
+/** Time for which the store has to refuse all calls of a leader before it hands
+ * over. The other entries read the leader's key every 500 ms, and one that is
+ * refused too no longer counts as a candidate. Without a hand-over the leader
+ * goes on until its lease of 1.8 s expires. */
+#define REFUSED_MS 700
+
 /** Time constant of the mean lateness of ticks. */
 #define LAG_MEAN_MS 1500
 
@@ -68,6 +75,8 @@
 		return FALSE;
 	if (candidate_cpu_milli >= HANDOVER_FACTOR * tenure->own_cpu_milli)
 		return tenure->led_ms >= HANDOVER_MIN_TENURE_MS;
+	if (tenure->refused_ms >= REFUSED_MS)
+		return tenure->led_ms >= HANDOVER_MIN_TENURE_MS;
 	return tenure->behind && tenure->led_ms >= BEHIND_MIN_TENURE_MS &&
 	       candidate_cpu_milli >= EQUAL_SHARE * tenure->own_cpu_milli;
 }
--- a/cell/candidacy_test.c
+++ b/cell/candidacy_test.c
@@ -84,6 +84,27 @@
 }
 END_TEST
 
+/* Guards against a leader that goes on although the store refuses its calls,
+ * and against a hand-over after a refusal that may just as well concern all. */
+START_TEST(test_hand_over_when_refused)
+{
+	struct cell_tenure tenure = { .own_cpu_milli = 500,
+				      .led_ms = 2000,
+				      .refused_ms = 800 };
+
+	ck_assert(cell_should_hand_over(&tenure, 500));
+	/* A smaller entry is better than none. */
+	ck_assert(cell_should_hand_over(&tenure, 120));
+	/* The others are refused as well, or have just been elected. */
+	ck_assert(!cell_should_hand_over(&tenure, 0));
+	tenure.refused_ms = 500;
+	ck_assert(!cell_should_hand_over(&tenure, 500));
+	tenure.refused_ms = 800;
+	tenure.led_ms = 1000;
+	ck_assert(!cell_should_hand_over(&tenure, 500));
+}
+END_TEST
+
 /* Ticks every gap_ms for a time. */
 static void tick_for(struct cell_lag *lag, gint64 *now_ms, gint64 gap_ms,
 		     gint64 ms)
@@ -139,6 +160,7 @@
 	tcase_add_test(tcase, test_named_successor_goes_first);
 	tcase_add_test(tcase, test_hand_over_to_larger_entry);
 	tcase_add_test(tcase, test_hand_over_when_behind);
+	tcase_add_test(tcase, test_hand_over_when_refused);
 	tcase_add_test(tcase, test_lag);
 	suite_add_tcase(suite, tcase);
 	return fixture_run(suite);
--- a/cell/cell_test.h
+++ b/cell/cell_test.h
@@ -37,6 +37,8 @@
 struct cell {
 	struct event_base *base;
 	struct fake_kv kv;
+	/** Of the entries. */
+	struct fake_client clients[ENTRIES];
 	struct cell_entry *entries[ENTRIES];
 	struct cell_agent *agent;
 	/** struct run, of the worker. */
@@ -192,7 +194,7 @@
 	g_autofree char *listen = g_strdup_printf("127.0.0.1:%d", port_new());
 	struct cell_entry_options options = {
 		.base = cell->base,
-		.kv = &cell->kv.kv,
+		.kv = &cell->clients[index].kv,
 		.name = entry_names[index],
 		.listen = listen,
 		.tables_key = TABLES_KEY,
@@ -246,8 +248,10 @@
 	cell->runs = g_array_new(FALSE, FALSE, sizeof(struct run));
 	fake_init(&cell->kv, cell->base);
 	fake_put(&cell->kv, TABLES_KEY, tables, 0);
-	for (i = 0; i < ENTRIES; i++)
+	for (i = 0; i < ENTRIES; i++) {
+		client_init(&cell->clients[i], &cell->kv);
 		cell->entries[i] = entry_new(cell, i);
+	}
 	options.base = cell->base;
 	options.kv = &cell->kv.kv;
 	cell->agent = cell_agent_new(&options, &error);
--- a/cell/entry.c
+++ b/cell/entry.c
@@ -73,6 +73,8 @@
 	guint64 next_call;
 	/** When the last heartbeat was sent. */
 	gint64 heartbeat_ms;
+	/** What it said that this process could lead with. */
+	guint heartbeat_cpu_milli;
 	/** When the oldest call without an answer was sent to the leader, as of
 	 * the last tick; 0 for none. */
 	gint64 oldest_sent_ms;
@@ -335,6 +337,11 @@
 	struct cell_entry *entry = ctx;
 
 	keep_calls(entry);
+	/* It gave up leadership in favour of this process. Its key remains if
+	 * the store refuses the leader's calls. */
+	if (entry->handover == CELL_HANDOVER_TO_THIS)
+		cell_store_leader_ended(entry->store,
+					entry->leader_conn.fencing_token);
 	if (entry->leader_check || !entry->leader_conn.address)
 		return;
 	entry->leader_check_token = entry->leader_conn.fencing_token;
@@ -464,11 +471,14 @@
 		.fencing_token = entry->leader_conn.fencing_token,
 	};
 
-	if (now_ms < entry->heartbeat_ms + CELL_HEARTBEAT_MS)
-		return;
-	entry->heartbeat_ms = now_ms;
 	if (!entry->draining && cell_store_is_reachable(entry->store))
 		heartbeat.cpu_milli = entry->options.cpu_milli;
+	/* A leader that hands over has to know at once who cannot lead. */
+	if (now_ms < entry->heartbeat_ms + CELL_HEARTBEAT_MS &&
+	    heartbeat.cpu_milli == entry->heartbeat_cpu_milli)
+		return;
+	entry->heartbeat_ms = now_ms;
+	entry->heartbeat_cpu_milli = heartbeat.cpu_milli;
 	if (entry->leader_conn.conn)
 		cell_conn_send_heartbeat(entry->leader_conn.conn, &heartbeat);
 }
--- a/cell/fake_kv_test.h
+++ b/cell/fake_kv_test.h
@@ -40,6 +40,9 @@
 	/** Transactions are not executed, and each call fails with
 	 * KV_ERROR_UNKNOWN as if it got no answer. */
 	gboolean down;
+	/** Calls being made are refused with KV_ERROR_UNAVAILABLE and have no
+	 * effect; see struct fake_client. */
+	gboolean refusing;
 	/** Since this time of the boot clock watches report no changes; 0: they
 	 * do. */
 	gint64 watches_silent_ms;
@@ -69,6 +72,8 @@
 	void *ctx;
 	/** Answered with KV_ERROR_UNKNOWN. */
 	gboolean lost;
+	/** Answered with KV_ERROR_UNAVAILABLE. */
+	gboolean refused;
 	gboolean succeeded;
 	gint64 revision;
 	gint64 lease;
@@ -156,7 +161,9 @@
 		.revision = call->revision,
 	};
 
-	if (call->lost)
+	if (call->refused)
+		error = g_error_new(KV_ERROR, KV_ERROR_UNAVAILABLE, "refused");
+	else if (call->lost)
 		error = g_error_new(KV_ERROR, KV_ERROR_UNKNOWN, "no answer");
 	else if (call->no_lease)
 		error = g_error_new(KV_ERROR, KV_ERROR_NO_LEASE, "no lease");
@@ -181,6 +188,7 @@
 	call->ctx = ctx;
 	g_queue_push_tail(&fake->open_calls, call);
 	call->lost = fake->down;
+	call->refused = fake->refusing;
 	call->timer = evtimer_new(fake->base, fake_answer, call);
 	evtimer_add(call->timer, &delay);
 	return call;
@@ -222,7 +230,7 @@
 	guint i;
 
 	call->txn_fn = fn;
-	if (fake->down)
+	if (fake->down || fake->refusing)
 		return;
 	call->succeeded = fake_compares_hold(fake, txn);
 	if (call->succeeded) {
@@ -302,6 +310,8 @@
 
 	call->lease_fn = fn;
 	call->lease = lease;
+	if (fake->refusing)
+		return;
 	g_hash_table_remove(fake->leases, GINT_TO_POINTER((int)lease));
 	fake->revision++;
 	for (k = keys; k; k = k->next) {
@@ -377,6 +387,107 @@
 	g_queue_init(&fake->open_calls);
 }
 
+/** A client of the store whose calls can be refused while those of others are
+ * served. */
+struct fake_client {
+	struct kv kv;
+	struct fake_kv *fake;
+	gboolean refused;
+};
+
+static inline struct fake_kv *client_begin(struct kv *kv)
+{
+	struct fake_client *client = (struct fake_client *)kv;
+
+	client->fake->refusing = client->refused;
+	return client->fake;
+}
+
+static inline void client_txn(struct kv *kv, const struct kv_txn *txn,
+			      kv_txn_fn fn, void *ctx)
+{
+	struct fake_kv *fake = client_begin(kv);
+
+	fake_txn(&fake->kv, txn, fn, ctx);
+	fake->refusing = FALSE;
+}
+
+static inline void client_range(struct kv *kv, const char *prefix,
+				gboolean exact, gint64 min_revision,
+				kv_range_fn fn, void *ctx)
+{
+	struct fake_kv *fake = client_begin(kv);
+
+	fake_range(&fake->kv, prefix, exact, min_revision, fn, ctx);
+	fake->refusing = FALSE;
+}
+
+static inline void client_lease_grant(struct kv *kv, gint64 ttl_ms,
+				      kv_lease_fn fn, void *ctx)
+{
+	struct fake_kv *fake = client_begin(kv);
+
+	fake_lease_grant(&fake->kv, ttl_ms, fn, ctx);
+	fake->refusing = FALSE;
+}
+
+static inline void client_lease_keepalive(struct kv *kv, gint64 lease,
+					  kv_lease_fn fn, void *ctx)
+{
+	struct fake_kv *fake = client_begin(kv);
+
+	fake_lease_keepalive(&fake->kv, lease, fn, ctx);
+	fake->refusing = FALSE;
+}
+
+static inline void client_lease_revoke(struct kv *kv, gint64 lease,
+				       kv_lease_fn fn, void *ctx)
+{
+	struct fake_kv *fake = client_begin(kv);
+
+	fake_lease_revoke(&fake->kv, lease, fn, ctx);
+	fake->refusing = FALSE;
+}
+
+static inline struct kv_watch *client_watch(struct kv *kv, const char *prefix,
+					    gint64 revision, kv_watch_fn fn,
+					    void *ctx)
+{
+	return fake_watch(&((struct fake_client *)kv)->fake->kv, prefix,
+			  revision, fn, ctx);
+}
+
+static inline gint64 client_watch_current_ms(const struct kv *kv,
+					     const struct kv_watch *watch)
+{
+	return fake_watch_current_ms(
+		&((const struct fake_client *)kv)->fake->kv, watch);
+}
+
+static inline const struct kv_calls *client_calls(struct kv *kv)
+{
+	return fake_calls(&((struct fake_client *)kv)->fake->kv);
+}
+
+static inline void client_init(struct fake_client *client, struct fake_kv *fake)
+{
+	static const struct kv_ops ops = {
+		.txn = client_txn,
+		.range = client_range,
+		.lease_grant = client_lease_grant,
+		.lease_keepalive = client_lease_keepalive,
+		.lease_revoke = client_lease_revoke,
+		.watch = client_watch,
+		.watch_cancel = fake_watch_cancel,
+		.watch_current_ms = client_watch_current_ms,
+		.calls = client_calls,
+	};
+
+	client->kv.ops = &ops;
+	client->fake = fake;
+	client->refused = FALSE;
+}
+
 static inline void fake_clear(struct fake_kv *fake)
 {
 	while (fake->open_calls.head)
--- a/cell/internal.h
+++ b/cell/internal.h
@@ -166,6 +166,8 @@
 	gint64 led_ms;
 	/** See cell_lag_is_behind(). */
 	gboolean behind;
+	/** See cell_store_refused_ms(). */
+	gint64 refused_ms;
 };
 
 /** TRUE if a leader hands over to a candidate with this CPU limit. */
@@ -248,6 +250,9 @@
 /** Sets what decides how soon this process seeks to lead; copied. */
 void cell_store_set_candidacy(struct cell_store *store,
 			      const struct cell_candidacy *candidacy);
+/** Time for which the store has refused all answered calls of this leader, ms;
+ * 0 if it did not refuse the last. */
+gint64 cell_store_refused_ms(const struct cell_store *store);
 /** TRUE if this process reads the leader's key, so that it could lead. */
 gboolean cell_store_is_reachable(const struct cell_store *store);
 /** When a read of the leader's key was last answered, or else when this process
--- a/cell/lead.c
+++ b/cell/lead.c
@@ -542,6 +542,7 @@
 		.own_cpu_milli = lead->options.cpu_milli,
 		.led_ms = now_ms - lead->leading_since_ms,
 		.behind = cell_lag_is_behind(&lead->lag),
+		.refused_ms = cell_store_refused_ms(lead->options.store),
 	};
 	const struct node *candidate;
 	GHashTableIter iter;
@@ -554,10 +555,11 @@
 	if (!candidate || !cell_should_hand_over(&tenure, candidate->cpu_milli))
 		return FALSE;
 	g_message("hands over to %s with %u milli-CPUs: this entry has %u, "
-		  "has led for %" G_GINT64_FORMAT " ms and is late for "
-		  "%.0f %% of the time",
+		  "has led for %" G_GINT64_FORMAT " ms, is late for "
+		  "%.0f %% of the time and was refused by the store for "
+		  "%" G_GINT64_FORMAT " ms",
 		  candidate->name, candidate->cpu_milli, tenure.own_cpu_milli,
-		  tenure.led_ms, 100 * lead->lag.late_share);
+		  tenure.led_ms, 100 * lead->lag.late_share, tenure.refused_ms);
 	lead->successor = g_strdup(candidate->name);
 	g_hash_table_iter_init(&iter, lead->nodes);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
--- a/cell/store.c
+++ b/cell/store.c
@@ -114,6 +114,11 @@
 	struct cell_candidacy rank;
 	/** When a read of the leader's key was last answered. */
 	gint64 key_read_ms;
+	/** The store refused the last read of the leader's key. */
+	gboolean key_read_refused;
+	/** Since when the store has refused all answered calls of this leader;
+	 * 0 if it did not refuse the last. */
+	gint64 refused_since_ms;
 	/** Time of the first tick. */
 	gint64 started_ms;
 	/** Time of the next lease renewal. */
@@ -167,6 +172,17 @@
 	return ctx->depositions != ctx->store->depositions;
 }
 
+/* Notes whether the store refused a call of this leader. A call without an
+ * answer tells nothing. */
+static void note_refusal(struct cell_store *store, const GError *error)
+{
+	if (!error)
+		store->refused_since_ms = 0;
+	else if (g_error_matches(error, KV_ERROR, KV_ERROR_UNAVAILABLE) &&
+		 !store->refused_since_ms)
+		store->refused_since_ms = store->now_ms;
+}
+
 static void stop_watches(struct cell_store *store)
 {
 	size_t i;
@@ -197,6 +213,7 @@
 			": %s",
 			store->fencing_token, why);
 	store->depositions++;
+	store->refused_since_ms = 0;
 	store->handing_over = FALSE;
 	store->absent_since_ms = 0;
 	store->state = STORE_FOLLOWING;
@@ -336,6 +353,8 @@
 	if (end_call(ctx))
 		return;
 	store->busy = FALSE;
+	store->key_read_refused = g_error_matches(error, KV_ERROR,
+						  KV_ERROR_UNAVAILABLE);
 	if (error)
 		return;
 	store->key_read_ms = store->now_ms;
@@ -440,6 +459,7 @@
 
 	if (end_call(ctx))
 		return;
+	note_refusal(store, error);
 	if (g_error_matches(error, KV_ERROR, KV_ERROR_NO_LEASE))
 		depose(store, "its lease has expired");
 	else if (error)
@@ -457,6 +477,7 @@
 	if (end_call(ctx))
 		return;
 	store->confirming = FALSE;
+	note_refusal(store, error);
 	if (error) {
 		store->confirm_ms = store->now_ms + RETRY_MS;
 		return;
@@ -598,6 +619,7 @@
 
 	if (end_call(ctx) || !is_of_txn(ctx))
 		return;
+	note_refusal(store, error);
 	if (!error)
 		cell_late_answered(&store->late, store->now_ms);
 	if (error) {
@@ -815,9 +837,16 @@
 		store->next_ms = 0;
 }
 
+gint64 cell_store_refused_ms(const struct cell_store *store)
+{
+	return store->refused_since_ms ? store->now_ms - store->refused_since_ms
+				       : 0;
+}
+
 gboolean cell_store_is_reachable(const struct cell_store *store)
 {
-	return store->now_ms < store->key_read_ms + REACHABLE_MS;
+	return !store->key_read_refused &&
+	       store->now_ms < store->key_read_ms + REACHABLE_MS;
 }
 
 gint64 cell_store_last_answer_ms(const struct cell_store *store)
@@ -829,7 +858,11 @@
 {
 	gint64 lease = store->lease;
 
-	if (store->state < STORE_LOADING || store->txn)
+	if (store->state < STORE_LOADING)
+		return;
+	/* A transaction that the store refuses will not end here. The next
+	 * leader finds in the records whether it took effect. */
+	if (store->txn && (store->txn_sent || !store->refused_since_ms))
 		return;
 	depose(store, store->resigning ? "it resigned" : "it handed over");
 	store->kv->ops->lease_revoke(store->kv, lease, on_revoked, NULL);
