cell: wait for the next leader until a call's timeout

Cause: a submission that a lost leader had not answered was given up as unknown (502) after 1.2 s, also where its caller had more time. Elections take longer than that around an outage of the store, and the next leader reads the outcome from the records. Change: submissions and cancellations that were sent to a leader wait for the next one until their timeout. Other calls wait 1.2 s as before, since a repeat of theirs loses nothing. One that no leader answers in time remains unknown.

--- a/cell/entry.c
+++ b/cell/entry.c
@@ -13,8 +13,9 @@
  * it, in case the leader's answer was lost. */
 #define CALL_MARGIN_MS 60
 
-/** Time for which calls that were sent to a leader wait for the next one, as
- * only that one can tell their outcome. */
+/** Time for which calls that were sent to a leader wait for the next one. Those
+ * that change a job wait until their timeout, as only the next leader can tell
+ * their outcome. */
 #define LEADER_WAIT_MS 1200
 
 /** Time for which new calls wait for the successor that a leader has named. */
@@ -160,7 +161,9 @@
 		if (!pending->sent_ms)
 			continue;
 		pending->sent_ms = 0;
-		pending->wait_until_ms = now_ms + LEADER_WAIT_MS;
+		pending->wait_until_ms = changes_job(pending->call)
+						 ? pending->deadline_ms
+						 : now_ms + LEADER_WAIT_MS;
 	}
 }
 
--- a/cell/refused_test.c
+++ b/cell/refused_test.c
@@ -1,7 +1,8 @@
 #include "cell_test.h"
 #include "tests/fixture.h"
 
-/* A leader whose calls the store refuses. */
+/* A leader whose calls the store refuses, and an election that is late since it
+ * refuses those of the next one. */
 
 /** Longest time until another entry leads; the lease of the leader's key alone
  * takes 1,800 ms. */
@@ -87,6 +88,36 @@
 }
 END_TEST
 
+/* Guards against a caller that is told nothing certain about its job while
+ * there is still time for the next leader to read the outcome: the election
+ * takes longer than usual, as after an outage of the store. */
+START_TEST(test_outcome_after_a_late_election)
+{
+	struct cell cell;
+	int leader;
+
+	setup(&cell);
+	wait_ready(&cell, 0);
+	wait_ready(&cell, 1);
+	leader = leading_entry(&cell);
+	/* The transaction takes effect, but the leader does not learn of it. */
+	cell.kv.lose_txns = 1;
+	begin_submit(&cell, 1 - leader, "/b/u1");
+	while (cell.kv.lose_txns)
+		run_loop_ms(&cell, 5);
+	cell.clients[1 - leader].refused = TRUE;
+	cell_entry_free(cell.entries[leader]);
+	cell.entries[leader] = NULL;
+	run_loop_ms(&cell, 1600);
+	ck_assert(!cell.answered);
+	cell.clients[1 - leader].refused = FALSE;
+	ck_assert_uint_eq(wait_reply(&cell), 200);
+	wait_state(&cell, 1 - leader, "/b/u1", RP__JOB_STATE__JOB_STATE_DONE);
+	ck_assert_uint_eq(cell.starts, 4);
+	teardown(&cell);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("refused");
@@ -95,6 +126,7 @@
 	fixture_drop_logs();
 	tcase_add_test(tcase, test_refused_leader_hands_over);
 	tcase_add_test(tcase, test_all_entries_are_refused);
+	tcase_add_test(tcase, test_outcome_after_a_late_election);
 	/* Seconds. */
 	tcase_set_timeout(tcase, 60);
 	suite_add_tcase(suite, tcase);
