--- a/cell/entry.c
+++ b/cell/entry.c
@@ -748,6 +748,10 @@
 	obs_gauge(metrics, "radishpier_leads", NULL, entry->leading);
 	obs_gauge(metrics, "radishpier_ready", NULL,
 		  cell_entry_is_ready(entry));
+	obs_gauge(metrics, "radishpier_no_leader_ms", NULL,
+		  entry->outage.since_ms
+			  ? (double)(net_now_ms() - entry->outage.since_ms)
+			  : 0);
 	obs_gauge(metrics, "radishpier_calls_pending", NULL,
 		  cell_entry_pending_calls(entry));
 	obs_count_set(metrics, "radishpier_kv_calls_total", "kind=\"txn\"",
