--- a/cell/entry.c
+++ b/cell/entry.c
@@ -13,8 +13,9 @@
  * it, in case the leader's answer was lost. */
 #define CALL_MARGIN_MS 60
 
-/** Time for which calls that were sent to a leader wait for the next one, as
- * only that one can tell their outcome. */
+/** Time for which calls that were sent to a leader wait for the next one. Those
+ * that change a job wait until their timeout, as only the next leader can tell
+ * their outcome. */
 #define LEADER_WAIT_MS 1200
 
 /** Time for which new calls wait for the successor that a leader has named. */
@@ -73,6 +74,8 @@
 	guint64 next_call;
 	/** When the last heartbeat was sent. */
 	gint64 heartbeat_ms;
+	/** What it said that this process could lead with. */
+	guint heartbeat_cpu_milli;
 	/** When the oldest call without an answer was sent to the leader, as of
 	 * the last tick; 0 for none. */
 	gint64 oldest_sent_ms;
@@ -158,7 +161,9 @@
 		if (!pending->sent_ms)
 			continue;
 		pending->sent_ms = 0;
-		pending->wait_until_ms = now_ms + LEADER_WAIT_MS;
+		pending->wait_until_ms = changes_job(pending->call)
+						 ? pending->deadline_ms
+						 : now_ms + LEADER_WAIT_MS;
 	}
 }
 
@@ -335,6 +340,11 @@
 	struct cell_entry *entry = ctx;
 
 	keep_calls(entry);
+	/* It gave up leadership in favour of this process. Its key remains if
+	 * the store refuses the leader's calls. */
+	if (entry->handover == CELL_HANDOVER_TO_THIS)
+		cell_store_leader_ended(entry->store,
+					entry->leader_conn.fencing_token);
 	if (entry->leader_check || !entry->leader_conn.address)
 		return;
 	entry->leader_check_token = entry->leader_conn.fencing_token;
@@ -473,11 +483,14 @@
 		.fencing_token = entry->leader_conn.fencing_token,
 	};
 
-	if (now_ms < entry->heartbeat_ms + CELL_HEARTBEAT_MS)
-		return;
-	entry->heartbeat_ms = now_ms;
 	if (!entry->draining && cell_store_is_reachable(entry->store))
 		heartbeat.cpu_milli = entry->options.cpu_milli;
+	/* A leader that hands over has to know at once who cannot lead. */
+	if (now_ms < entry->heartbeat_ms + CELL_HEARTBEAT_MS &&
+	    heartbeat.cpu_milli == entry->heartbeat_cpu_milli)
+		return;
+	entry->heartbeat_ms = now_ms;
+	entry->heartbeat_cpu_milli = heartbeat.cpu_milli;
 	if (entry->leader_conn.conn)
 		cell_conn_send_heartbeat(entry->leader_conn.conn, &heartbeat);
 }
@@ -749,6 +762,10 @@
 	obs_gauge(metrics, "radishpier_leads", NULL, entry->leading);
 	obs_gauge(metrics, "radishpier_ready", NULL,
 		  cell_entry_is_ready(entry));
+	obs_gauge(metrics, "radishpier_no_leader_ms", NULL,
+		  entry->outage.since_ms
+			  ? (double)(net_now_ms() - entry->outage.since_ms)
+			  : 0);
 	obs_gauge(metrics, "radishpier_calls_pending", NULL,
 		  cell_entry_pending_calls(entry));
 	obs_count_set(metrics, "radishpier_kv_calls_total", "kind=\"txn\"",
--- a/cell/internal.h
+++ b/cell/internal.h
@@ -166,6 +166,8 @@
 	gint64 led_ms;
 	/** See cell_lag_is_behind(). */
 	gboolean behind;
+	/** See cell_store_refused_ms(). */
+	gint64 refused_ms;
 };
 
 /** TRUE if a leader hands over to a candidate with this CPU limit. */
@@ -200,6 +202,27 @@
 /** Of struct sch_evacuation. */
 const GArray *cell_evacuations_list(const struct cell_evacuations *evacuations);
 
+/* late.c: when the outcome of a transaction is looked up. */
+
+/** The transaction in flight, and how long others took; all 0 at first. */
+struct cell_late {
+	double mean_ms;
+	/** When the one in flight was sent; boot clock. */
+	gint64 sent_ms;
+	/** When its outcome is to be looked up; 0 if none is in flight. */
+	gint64 due_ms;
+	/** Time between the last two of these. */
+	gint64 wait_ms;
+};
+
+void cell_late_sent(struct cell_late *late, gint64 now_ms);
+/** The transaction in flight was answered. */
+void cell_late_answered(struct cell_late *late, gint64 now_ms);
+/** It has ended in another way. */
+void cell_late_lost(struct cell_late *late);
+/** TRUE if the outcome is to be looked up now. */
+gboolean cell_late_take(struct cell_late *late, gint64 now_ms);
+
 /* store.c: leader election and records in the key-value store. */
 struct cell_store;
 
@@ -247,6 +270,9 @@
 /** Sets what decides how soon this process seeks to lead; copied. */
 void cell_store_set_candidacy(struct cell_store *store,
 			      const struct cell_candidacy *candidacy);
+/** Time for which the store has refused all answered calls of this leader, ms;
+ * 0 if it did not refuse the last. */
+gint64 cell_store_refused_ms(const struct cell_store *store);
 /** TRUE if this process reads the leader's key, so that it could lead. */
 gboolean cell_store_is_reachable(const struct cell_store *store);
 /** When a read of the leader's key was last answered, or else when this process
--- a/cell/store.c
+++ b/cell/store.c
@@ -104,6 +104,9 @@
 	/** The transaction, or the check of its outcome, is in flight. */
 	gboolean txn_sent;
 	gint64 txn_next_ms;
+	/** How late its answer is, and whether its outcome is being read. */
+	struct cell_late late;
+	gboolean looking_up;
 	/** A call of the election or the read of the records is in flight. */
 	gboolean busy;
 	/** The leader's key was absent when last read, for long enough. */
@@ -115,6 +118,11 @@
 	struct cell_candidacy rank;
 	/** When a read of the leader's key was last answered. */
 	gint64 key_read_ms;
+	/** The store refused the last read of the leader's key. */
+	gboolean key_read_refused;
+	/** Since when the store has refused all answered calls of this leader;
+	 * 0 if it did not refuse the last. */
+	gint64 refused_since_ms;
 	/** Time of the first tick. */
 	gint64 started_ms;
 	/** Time of the next lease renewal. */
@@ -142,6 +150,8 @@
 	/** Value of store->depositions when the call was sent. */
 	guint depositions;
 	gint64 sent_ms;
+	/** Of a transaction of the leader, or of a read of its outcome. */
+	guint64 commit_number;
 	/** The watch that the call reads for, or NULL. */
 	struct store_watch *watch;
 };
@@ -153,6 +163,7 @@
 	ctx->store = store;
 	ctx->depositions = store->depositions;
 	ctx->sent_ms = store->now_ms;
+	ctx->commit_number = store->commit_number;
 	g_hash_table_add(store->open_calls, ctx);
 	return ctx;
 }
@@ -165,6 +176,17 @@
 	return ctx->depositions != ctx->store->depositions;
 }
 
+/* Notes whether the store refused a call of this leader. A call without an
+ * answer tells nothing. */
+static void note_refusal(struct cell_store *store, const GError *error)
+{
+	if (!error)
+		store->refused_since_ms = 0;
+	else if (g_error_matches(error, KV_ERROR, KV_ERROR_UNAVAILABLE) &&
+		 !store->refused_since_ms)
+		store->refused_since_ms = store->now_ms;
+}
+
 static void stop_watches(struct cell_store *store)
 {
 	size_t i;
@@ -195,6 +217,7 @@
 			": %s",
 			store->fencing_token, why);
 	store->depositions++;
+	store->refused_since_ms = 0;
 	store->handing_over = FALSE;
 	store->absent_since_ms = 0;
 	store->state = STORE_FOLLOWING;
@@ -206,6 +229,8 @@
 		kv_txn_free(store->txn);
 	store->txn = NULL;
 	store->txn_sent = FALSE;
+	store->looking_up = FALSE;
+	cell_late_lost(&store->late);
 	stop_watches(store);
 	if (was_elected)
 		store->handler.on_deposed(store->handler.ctx);
@@ -332,6 +357,8 @@
 	if (end_call(ctx))
 		return;
 	store->busy = FALSE;
+	store->key_read_refused = g_error_matches(error, KV_ERROR,
+						  KV_ERROR_UNAVAILABLE);
 	if (error)
 		return;
 	store->key_read_ms = store->now_ms;
@@ -436,6 +463,7 @@
 
 	if (end_call(ctx))
 		return;
+	note_refusal(store, error);
 	if (g_error_matches(error, KV_ERROR, KV_ERROR_NO_LEASE))
 		depose(store, "its lease has expired");
 	else if (error)
@@ -453,6 +481,7 @@
 	if (end_call(ctx))
 		return;
 	store->confirming = FALSE;
+	note_refusal(store, error);
 	if (error) {
 		store->confirm_ms = store->now_ms + RETRY_MS;
 		return;
@@ -498,10 +527,37 @@
 	kv_txn_free(store->txn);
 	store->txn = NULL;
 	store->txn_sent = FALSE;
+	cell_late_lost(&store->late);
 	store->commit_revision = revision;
 	store->handler.on_committed(store->handler.ctx, (guint64)revision);
 }
 
+/* TRUE if the call is of the transaction that is to be committed. The outcome
+ * of an earlier one may have been looked up before its answer came. */
+static gboolean is_of_txn(const struct call_ctx *ctx)
+{
+	return ctx->store->txn &&
+	       ctx->commit_number == ctx->store->commit_number;
+}
+
+/* Returns the revision at which the transaction took effect, or 0 if the commit
+ * key has the number of another one. */
+static gint64 revision_of_txn(const struct cell_store *store,
+			      const GPtrArray *pairs)
+{
+	g_autofree char *value = commit_value(store);
+	const struct kv_pair *pair = pairs->len ? pairs->pdata[0] : NULL;
+	const char *data;
+	gsize len;
+
+	if (!pair)
+		return 0;
+	data = g_bytes_get_data(pair->value, &len);
+	if (len != strlen(value) || memcmp(data, value, len) != 0)
+		return 0;
+	return pair->mod_revision;
+}
+
 /* Checks why the comparisons of the transaction failed: an earlier send of it
  * took effect, or this process is no longer the leader. */
 static void on_commit_key_read(void *arg, const GPtrArray *pairs,
@@ -510,28 +566,53 @@
 {
 	g_autofree struct call_ctx *ctx = arg;
 	struct cell_store *store = ctx->store;
-	const struct kv_pair *pair;
-	g_autofree char *value = NULL;
-	gsize len;
+	gint64 took_effect_at;
 
-	if (end_call(ctx) || !store->txn)
+	if (end_call(ctx) || !is_of_txn(ctx))
 		return;
 	if (error) {
 		store->txn_sent = FALSE;
 		store->txn_next_ms = store->now_ms + RETRY_MS;
 		return;
 	}
-	value = commit_value(store);
-	pair = pairs->len ? pairs->pdata[0] : NULL;
-	if (pair) {
-		const char *data = g_bytes_get_data(pair->value, &len);
+	took_effect_at = revision_of_txn(store, pairs);
+	if (took_effect_at)
+		finish_commit(store, took_effect_at);
+	else
+		depose(store, "the conditions of its transaction failed");
+}
 
-		if (len == strlen(value) && !memcmp(data, value, len)) {
-			finish_commit(store, pair->mod_revision);
-			return;
-		}
-	}
-	depose(store, "the conditions of its transaction failed");
+static void on_looked_up(void *arg, const GPtrArray *pairs,
+			 gint64 revision G_GNUC_UNUSED, const GError *error)
+{
+	g_autofree struct call_ctx *ctx = arg;
+	struct cell_store *store = ctx->store;
+	gint64 took_effect_at;
+
+	if (end_call(ctx))
+		return;
+	store->looking_up = FALSE;
+	if (error || !is_of_txn(ctx))
+		return;
+	/* One that has not taken effect may still do so. */
+	took_effect_at = revision_of_txn(store, pairs);
+	if (!took_effect_at)
+		return;
+	g_info("transaction %" G_GUINT64_FORMAT " took effect, its answer is "
+	       "%" G_GINT64_FORMAT " ms late",
+	       store->commit_number, store->now_ms - store->late.sent_ms);
+	finish_commit(store, took_effect_at);
+}
+
+/* Looks up the outcome of the transaction if its answer is late. */
+static void look_up_txn(struct cell_store *store)
+{
+	if (!store->txn || store->looking_up ||
+	    !cell_late_take(&store->late, store->now_ms))
+		return;
+	store->looking_up = TRUE;
+	store->kv->ops->range(store->kv, CELL_COMMIT_KEY, TRUE, 0, on_looked_up,
+			      call_ctx_new(store));
 }
 
 static void on_txn(void *arg, const struct kv_txn_result *result,
@@ -540,8 +621,11 @@
 	g_autofree struct call_ctx *ctx = arg;
 	struct cell_store *store = ctx->store;
 
-	if (end_call(ctx) || !store->txn)
+	if (end_call(ctx) || !is_of_txn(ctx))
 		return;
+	note_refusal(store, error);
+	if (!error)
+		cell_late_answered(&store->late, store->now_ms);
 	if (error) {
 		g_info("transaction %" G_GUINT64_FORMAT
 		       " will be sent again: %s",
@@ -562,6 +646,7 @@
 	    store->now_ms < store->txn_next_ms)
 		return;
 	store->txn_sent = TRUE;
+	cell_late_sent(&store->late, store->now_ms);
 	store->kv->ops->txn(store->kv, store->txn, on_txn, call_ctx_new(store));
 }
 
@@ -779,9 +864,16 @@
 		store->next_ms = 0;
 }
 
+gint64 cell_store_refused_ms(const struct cell_store *store)
+{
+	return store->refused_since_ms ? store->now_ms - store->refused_since_ms
+				       : 0;
+}
+
 gboolean cell_store_is_reachable(const struct cell_store *store)
 {
-	return store->now_ms < store->key_read_ms + REACHABLE_MS;
+	return !store->key_read_refused &&
+	       store->now_ms < store->key_read_ms + REACHABLE_MS;
 }
 
 gint64 cell_store_last_answer_ms(const struct cell_store *store)
@@ -793,7 +885,11 @@
 {
 	gint64 lease = store->lease;
 
-	if (store->state < STORE_LOADING || store->txn)
+	if (store->state < STORE_LOADING)
+		return;
+	/* A transaction that the store refuses will not end here. The next
+	 * leader finds in the records whether it took effect. */
+	if (store->txn && (store->txn_sent || !store->refused_since_ms))
 		return;
 	depose(store, store->resigning ? "it resigned" : "it handed over");
 	store->kv->ops->lease_revoke(store->kv, lease, on_revoked, NULL);
@@ -831,6 +927,7 @@
 		if (store->state != STORE_LEADING)
 			break;
 		send_txn(store);
+		look_up_txn(store);
 		for (i = 0; i < N_WATCHES; i++)
 			read_watched_keys(&store->watches[i]);
 		break;
