evac: the document of evacuated zones

Cause: operators need to take an availability zone out of service, and the evacuated zones need one form that the command, entries and agents share. Nothing uses it yet.

--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 TEST_LIBS = $(shell pkg-config --libs check)
 
 # Packages in link order; each is a directory with one public header.
-LIBRARIES = $(patsubst %/platform.h,%,$(wildcard platform/platform.h)) cell runs sched colo entry jobs agent kv net config wire obs
+LIBRARIES = $(patsubst %/platform.h,%,$(wildcard platform/platform.h)) cell runs sched colo entry jobs agent kv net config evac wire obs
 PROGRAMS = radishpier radishpier-agent
 TOOLS = standin
 
