radishpier: the command evacuate

Cause: operators cannot take an availability zone out of service. A lost answer is read back from the history entry, which has an id of its own; a lost race is reported with the winner. A zone that no VM has is refused if an entry reports which zones exist. history prints the changes after those of the tables. The queries of the entries' status move from cli_status.c to cli_ask.c, which evacuate uses too. An empty value of any option is reported with the option's name. Entries do not read the document yet.

--- a/evac/evac.c
+++ b/evac/evac.c
@@ -112,17 +112,23 @@
 		       "text");
 }
 
+int evac_check_reason(const char *reason, GError **error)
+{
+	if (is_one_line(reason, EVAC_MAX_REASON_BYTES))
+		return 0;
+	return invalid(error, "reason",
+		       "1 to 512 bytes of UTF-8 on one line, not an empty "
+		       "text");
+}
+
 static int check_zone(const struct evac_zone *zone, GError **error)
 {
 	if (!is_zone_name(zone->zone))
 		return invalid(error, "zone",
 			       "1 to 64 letters, digits, '.', '_' or '-'");
-	if (evac_check_author(zone->author, error) < 0)
+	if (evac_check_author(zone->author, error) < 0 ||
+	    evac_check_reason(zone->reason, error) < 0)
 		return -1;
-	if (!is_one_line(zone->reason, EVAC_MAX_REASON_BYTES))
-		return invalid(error, "reason",
-			       "1 to 512 bytes of UTF-8 on one line, not an "
-			       "empty text");
 	if (zone->since_unix_ms < 0)
 		return invalid(error, "since_unix_ms", "at least 0");
 	return 0;
--- a/evac/evac.h
+++ b/evac/evac.h
@@ -87,8 +87,9 @@
 struct evac *evac_end(const struct evac *held, const char *zone,
 		      GError **error);
 
-/** Checks an author; returns -1 with EVAC_ERROR_INVALID. */
+/** Each checks one field; returns -1 with EVAC_ERROR_INVALID. */
 int evac_check_author(const char *author, GError **error);
+int evac_check_reason(const char *reason, GError **error);
 
 /** Returns the key of a generation's history entry; the caller frees it. */
 char *evac_history_key(guint64 generation);
--- a/radishpier/cli.h
+++ b/radishpier/cli.h
@@ -3,6 +3,7 @@
 
 #include <event2/event.h>
 #include <glib.h>
+#include <jansson.h>
 
 #include "../kv/kv.h"
 #include "radishpier.h"
@@ -58,6 +59,30 @@
 /** UTC time such as "2026-01-31T12:00:00Z"; the caller frees it. */
 char *cli_time_text(gint64 unix_ms);
 
+struct evhttp_connection;
+
+/** A registered entry and its status. */
+struct cli_source {
+	/** The registration. */
+	json_t *entry;
+	/** Answer of /status; NULL if there is none. */
+	json_t *status;
+	/** Why there is no status, or NULL. */
+	const char *problem;
+	/** Number of requests in flight, shared by all sources. */
+	unsigned *pending;
+	struct evhttp_connection *connection;
+};
+
+/**
+ * Asks all registered entries for their status. Returns struct cli_source
+ * pointers, or NULL with a KV_ERROR if the entries cannot be read.
+ */
+GPtrArray *cli_ask_entries(struct cli_kv *cli, GError **error);
+
+/** Returns a member of the object that is a text, or "-" if it has none. */
+const char *cli_string_or_dash(const json_t *object, const char *key);
+
 /** Options of the command apply. */
 struct cli_apply {
 	const char *routes_file;
@@ -67,9 +92,23 @@
 	gint64 expect;
 };
 
+/** Options of the command evacuate. */
+struct cli_evacuate {
+	const char *zone;
+	const char *author;
+	/** NULL if none was given; required unless end is set. */
+	const char *reason;
+	/** Ends the zone's evacuation instead of beginning one. */
+	gboolean end;
+};
+
 /* Each runs one command and reports a failure on standard error. */
 enum exit_code cli_check(const char *routes_file, const char *pools_file);
 enum exit_code cli_apply(struct cli_kv *cli, const struct cli_apply *options);
+enum exit_code cli_evacuate(struct cli_kv *cli,
+			    const struct cli_evacuate *options);
+/** Prints the last changes of the evacuations, the newest first. */
+enum exit_code cli_evacuation_history(struct cli_kv *cli, unsigned last);
 enum exit_code cli_show(struct cli_kv *cli);
 enum exit_code cli_history(struct cli_kv *cli, unsigned last);
 enum exit_code cli_status(struct cli_kv *cli, gboolean json);
--- a/radishpier/cli_show.c
+++ b/radishpier/cli_show.c
@@ -124,5 +124,5 @@
 			       ": no history entry\n",
 			       generation);
 	}
-	return EXIT_CODE_OK;
+	return cli_evacuation_history(cli, last);
 }
--- a/radishpier/cli_status.c
+++ b/radishpier/cli_status.c
@@ -1,98 +1,17 @@
 #include "cli.h"
 
-#include <event2/buffer.h>
-#include <event2/http.h>
 #include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "../net/net.h"
-
 /*
  * The command status: fetches /status of each entry that is registered in the
  * key-value store. Fields that an entry does not report are shown as "-".
  */
 
-/* Largest answer that is accepted from an entry. */
-#define MAX_STATUS_BYTES (64 * 1024 * 1024)
 #define MAX_COLUMNS 16
 
-/* A registered entry and its status. */
-struct source {
-	/* The registration. */
-	json_t *entry;
-	/* Answer of /status; NULL if there is none. */
-	json_t *status;
-	/* Why there is no status, or NULL. */
-	const char *problem;
-	/* Number of requests in flight, shared by all sources. */
-	unsigned *pending;
-	struct evhttp_connection *connection;
-};
-
-static void free_source(gpointer data)
-{
-	struct source *source = data;
-
-	if (source->connection)
-		evhttp_connection_free(source->connection);
-	json_decref(source->entry);
-	json_decref(source->status);
-	g_free(source);
-}
-
-static void on_status(struct evhttp_request *req, void *ctx)
-{
-	struct source *source = ctx;
-	struct evbuffer *input;
-
-	(*source->pending)--;
-	source->problem = "no answer";
-	if (!req || evhttp_request_get_response_code(req) != HTTP_OK)
-		return;
-	input = evhttp_request_get_input_buffer(req);
-	source->status = json_loadb((char *)evbuffer_pullup(input, -1),
-				    evbuffer_get_length(input), 0, NULL);
-	source->problem = json_is_object(source->status) ? NULL : "not JSON";
-}
-
-static const char *string_or_dash(const json_t *object, const char *key)
-{
-	const char *text = json_string_value(json_object_get(object, key));
-
-	return text && *text ? text : "-";
-}
-
-/* Starts GET /status. */
-static void ask(struct event_base *base, struct source *source)
-{
-	const char *address = string_or_dash(source->entry, "operator_address");
-	g_autofree char *host = NULL;
-	guint16 port;
-	struct evhttp_request *req;
-
-	source->problem = "no operator address";
-	if (net_split_address(address, &host, &port) < 0)
-		return;
-	source->connection = evhttp_connection_base_new(base, NULL, host, port);
-	if (!source->connection)
-		return;
-	evhttp_connection_set_timeout(source->connection,
-				      CLI_CALL_TIMEOUT_MS / 1000);
-	evhttp_connection_set_max_body_size(source->connection,
-					    MAX_STATUS_BYTES);
-	req = evhttp_request_new(on_status, source);
-	evhttp_add_header(evhttp_request_get_output_headers(req), "Host",
-			  address);
-	(*source->pending)++;
-	if (evhttp_make_request(source->connection, req, EVHTTP_REQ_GET,
-				"/status") < 0) {
-		(*source->pending)--;
-		source->problem = "cannot be connected";
-	}
-}
-
 /* A text table: the JSON keys of its columns, and rows of cells. */
 struct table {
 	const char *const *keys;
@@ -177,7 +96,7 @@
 	guint i;
 
 	for (i = 0; i < sources->len; i++) {
-		const struct source *source = sources->pdata[i];
+		const struct cli_source *source = sources->pdata[i];
 		json_t *row = source->status ? json_copy(source->status)
 					     : json_copy(source->entry);
 
@@ -185,7 +104,7 @@
 				    source->problem
 					    ? json_string(source->problem)
 					    : json_null());
-		table_add(&table, row, string_or_dash(source->entry, "id"));
+		table_add(&table, row, cli_string_or_dash(source->entry, "id"));
 		json_decref(row);
 	}
 	table_end(&table, "ENTRIES");
@@ -203,7 +122,7 @@
 	size_t j;
 
 	for (i = 0; i < sources->len; i++) {
-		const struct source *source = sources->pdata[i];
+		const struct cli_source *source = sources->pdata[i];
 		const json_t *entry = json_object_get(source->status, "entry");
 		const json_t *items = json_object_get(source->status, list);
 
@@ -212,7 +131,7 @@
 
 		for (j = 0; j < json_array_size(items); j++)
 			table_add(&table, json_array_get(items, j),
-				  string_or_dash(source->entry, "id"));
+				  cli_string_or_dash(source->entry, "id"));
 	}
 	table_end(&table, title);
 }
@@ -243,8 +162,8 @@
 	size_t j;
 
 	for (i = 0; i < sources->len; i++) {
-		const struct source *source = sources->pdata[i];
-		const char *id = string_or_dash(source->entry, "id");
+		const struct cli_source *source = sources->pdata[i];
+		const char *id = cli_string_or_dash(source->entry, "id");
 		const json_t *entry = json_object_get(source->status, "entry");
 		const json_t *pools = json_object_get(entry, "pools");
 
@@ -252,7 +171,8 @@
 		for (j = 0; j < json_array_size(pools); j++) {
 			const json_t *pool = json_array_get(pools, j);
 
-			add_refused(&table, id, string_or_dash(pool, "name"),
+			add_refused(&table, id,
+				    cli_string_or_dash(pool, "name"),
 				    json_object_get(pool, "refused"));
 		}
 	}
@@ -272,22 +192,23 @@
 	size_t j;
 
 	for (i = 0; i < sources->len; i++) {
-		const struct source *source = sources->pdata[i];
+		const struct cli_source *source = sources->pdata[i];
 		const json_t *jobs = json_object_get(source->status, "jobs");
 
 		for (j = 0; j < json_array_size(jobs); j++) {
 			const json_t *job = json_array_get(jobs, j);
-			const char *pool = string_or_dash(job, "pool");
-			const char *why = string_or_dash(job, "why");
+			const char *pool = cli_string_or_dash(job, "pool");
+			const char *why = cli_string_or_dash(job, "why");
 			g_autofree char *key = g_strdup_printf("%s %s", pool,
 							       why);
 
 			group = json_object_get(groups, key);
 			if (!group) {
-				group = json_pack(
-					"{s:s, s:i, s:s, s:s}", "pool", pool,
-					"jobs", 0, "example",
-					string_or_dash(job, "id"), "why", why);
+				group = json_pack("{s:s, s:i, s:s, s:s}",
+						  "pool", pool, "jobs", 0,
+						  "example",
+						  cli_string_or_dash(job, "id"),
+						  "why", why);
 				json_object_set_new(groups, key, group);
 			}
 			json_integer_set(json_object_get(group, "jobs"),
@@ -314,12 +235,12 @@
 	guint i;
 
 	for (i = 0; i < sources->len; i++) {
-		const struct source *source = sources->pdata[i];
+		const struct cli_source *source = sources->pdata[i];
 		const json_t *row = json_object_get(source->status, "promises");
 
 		if (row)
 			table_add(&table, row,
-				  string_or_dash(source->entry, "id"));
+				  cli_string_or_dash(source->entry, "id"));
 	}
 	table_end(&table, "MEMBERS");
 }
@@ -359,7 +280,7 @@
 	guint i;
 
 	for (i = 0; i < sources->len; i++) {
-		const struct source *source = sources->pdata[i];
+		const struct cli_source *source = sources->pdata[i];
 		json_t *item = json_copy(source->status ? source->status
 							: source->entry);
 
@@ -374,48 +295,19 @@
 	json_decref(all);
 }
 
-static GPtrArray *ask_all(struct cli_kv *cli, const GPtrArray *pairs)
-{
-	GPtrArray *sources = g_ptr_array_new_with_free_func(free_source);
-	unsigned pending = 0;
-	guint i;
-
-	for (i = 0; i < pairs->len; i++) {
-		const struct kv_pair *pair = pairs->pdata[i];
-		struct source *source = g_new0(struct source, 1);
-		const void *data;
-		gsize len;
-
-		data = g_bytes_get_data(pair->value, &len);
-		source->entry = json_loadb(data, len, 0, NULL);
-		if (!json_is_object(source->entry)) {
-			json_decref(source->entry);
-			source->entry = json_pack("{s:s}", "id", pair->key);
-		}
-		source->pending = &pending;
-		g_ptr_array_add(sources, source);
-		ask(cli->base, source);
-	}
-	while (pending)
-		event_base_loop(cli->base, EVLOOP_ONCE);
-	return sources;
-}
-
 enum exit_code cli_status(struct cli_kv *cli, gboolean json)
 {
 	g_autoptr(GPtrArray) sources = NULL;
-	g_autoptr(GPtrArray) pairs = NULL;
 	g_autoptr(GError) error = NULL;
 	enum exit_code code = EXIT_CODE_OK;
 	guint i;
 
-	pairs = cli_kv_range(cli, CLI_ENTRY_PREFIX, FALSE, &error);
-	if (!pairs) {
+	sources = cli_ask_entries(cli, &error);
+	if (!sources) {
 		fprintf(stderr, "radishpier: %s; entries cannot be found\n",
 			error->message);
 		return EXIT_CODE_UNAVAILABLE;
 	}
-	sources = ask_all(cli, pairs);
 	if (json)
 		print_json(sources);
 	else
@@ -425,7 +317,7 @@
 		return EXIT_CODE_FAILED;
 	}
 	for (i = 0; i < sources->len; i++)
-		if (((struct source *)sources->pdata[i])->problem)
+		if (((struct cli_source *)sources->pdata[i])->problem)
 			code = EXIT_CODE_UNAVAILABLE;
 	return code;
 }
--- a/radishpier/cli_test.c
+++ b/radishpier/cli_test.c
@@ -327,26 +327,34 @@
 }
 END_TEST
 
-/*
- * Guards against a status that omits an entry because it does not answer, or
- * omits what an entry reports.
- */
-START_TEST(test_status)
+/* Serves /status and registers the server as an entry. */
+static void serve(const char *id,
+		  void (*answer)(struct evhttp_request *req, void *arg))
 {
 	struct event_base *base = event_base_new();
 	struct evhttp *http = evhttp_new(base);
-	char closed[32];
 	char address[32];
-	struct run run;
 
 	child_closed_address(address, sizeof(address));
 	ck_assert_int_eq(
 		evhttp_bind_socket(http, "127.0.0.1",
 				   (guint16)atoi(strchr(address, ':') + 1)),
 		0);
-	evhttp_set_cb(http, "/status", serve_status, NULL);
+	evhttp_set_cb(http, "/status", answer, NULL);
 	g_thread_new("status", loop, base);
-	put_entry("e1", address);
+	put_entry(id, address);
+}
+
+/*
+ * Guards against a status that omits an entry because it does not answer, or
+ * omits what an entry reports.
+ */
+START_TEST(test_status)
+{
+	char closed[32];
+	struct run run;
+
+	serve("e1", serve_status);
 	expect_run(ask("status", "--json"), EXIT_CODE_OK, "[{\"id\":\"e1\"",
 		   "");
 	child_closed_address(closed, sizeof(closed));
@@ -366,6 +374,197 @@
 }
 END_TEST
 
+/* Runs evacuate for a zone; reason NULL ends the evacuation. */
+static struct run evacuate(const char *zone, const char *author,
+			   const char *reason)
+{
+	char *argv[] = { binary,	   "evacuate",
+			 (char *)zone,	   "--kv",
+			 platform.address, "--author",
+			 (char *)author,   "--reason",
+			 (char *)reason,   NULL };
+
+	if (!reason) {
+		argv[7] = (char *)"--end";
+		argv[8] = NULL;
+	}
+	return run_command(argv);
+}
+
+/*
+ * Guards against an evacuation that is not recorded, that is made twice, that
+ * ends without having begun, or that is refused because no entry is there.
+ */
+START_TEST(test_evacuate)
+{
+	expect_run(evacuate("zone-a", "ana", NULL), EXIT_CODE_FAILED, "",
+		   "zone zone-a is not evacuated; evacuated: none; nothing was "
+		   "changed");
+	expect_run(evacuate("zone-a", "ana", "power works"), EXIT_CODE_OK,
+		   "applied generation 1: zone zone-a is evacuated\n"
+		   "evacuated zones: zone-a\n",
+		   "zone zone-a was not checked");
+	expect_run(evacuate("zone-a", "ben", "again"), EXIT_CODE_FAILED, "",
+		   "zone zone-a is evacuated already, by ana: power works; "
+		   "nothing was changed");
+	expect_run(evacuate("zone-b", "ben", "cooling"), EXIT_CODE_OK,
+		   "evacuated zones: zone-a, zone-b\n", "");
+	expect_run(evacuate("zone-a", "ana", NULL), EXIT_CODE_OK,
+		   "applied generation 3: zone zone-a is in service\n"
+		   "evacuated zones: zone-b\n",
+		   "");
+	expect_run(apply("ana", 1, NULL), EXIT_CODE_OK, "applied generation 1",
+		   "");
+	expect_run(ask("history", NULL), EXIT_CODE_OK,
+		   "evacuations 3 by ana at ", "");
+	expect_run(ask("history", NULL), EXIT_CODE_OK,
+		   "    evacuate zone zone-b: cooling\n"
+		   "    evacuated zones: zone-a, zone-b\n"
+		   "evacuations 1 by ana at ",
+		   "");
+	expect_run(ask("history", NULL), EXIT_CODE_OK,
+		   "    end zone zone-a: -\n    evacuated zones: zone-b\n", "");
+}
+END_TEST
+
+static gpointer evacuate_in_thread(gpointer author)
+{
+	struct run *run = g_new(struct run, 1);
+
+	*run = evacuate(strcmp(author, "ana") ? "zone-b" : "zone-a", author,
+			"test");
+	return run;
+}
+
+/*
+ * Guards against two concurrent evacuations of which one is lost although both
+ * commands report success: the second to write must fail and name the first.
+ */
+START_TEST(test_evacuate_race)
+{
+	static const char *const authors[] = { "ana", "ben" };
+	GThread *threads[2];
+	struct run *runs[2];
+	int lost = 0;
+	int i;
+
+	/* Both read the document before either writes. */
+	child_fault(&platform, "{\"hang\": true}");
+	for (i = 0; i < 2; i++)
+		threads[i] = g_thread_new(authors[i], evacuate_in_thread,
+					  (gpointer)authors[i]);
+	for (;;) {
+		g_autofree char *calls = child_get(&platform, "/calls");
+
+		if (strstr(calls, "\"open\":2"))
+			break;
+		g_usleep(10000);
+	}
+	child_fault(&platform, "{\"hang\": false}");
+	for (i = 0; i < 2; i++) {
+		runs[i] = g_thread_join(threads[i]);
+		lost += runs[i]->code == EXIT_CODE_FAILED;
+	}
+	ck_assert_int_eq(lost, 1);
+	i = runs[0]->code == EXIT_CODE_FAILED ? 0 : 1;
+	expect_run(*runs[i], EXIT_CODE_FAILED, "",
+		   i ? "ana won with generation 1 at "
+		     : "ben won with generation 1 at ");
+	expect_run(*runs[!i], EXIT_CODE_OK, "applied generation 1: ", "");
+	g_free(runs[0]);
+	g_free(runs[1]);
+}
+END_TEST
+
+/*
+ * Guards against an evacuation that reports a failure, or is made twice,
+ * because the store applied its transaction but the answer was lost.
+ */
+START_TEST(test_evacuate_lost_answer)
+{
+	g_autofree char *calls = NULL;
+
+	child_fault(&platform, "{\"lose_answers\": 1}");
+	expect_run(evacuate("zone-a", "ana", "test"), EXIT_CODE_OK,
+		   "applied generation 1",
+		   "reading back whether the change was applied");
+	calls = child_get(&platform, "/calls");
+	ck_assert_ptr_nonnull(strstr(calls, "\"txn\":1,"));
+	child_fault(&platform, "{\"down\": true}");
+	expect_run(evacuate("zone-b", "ana", "test"), EXIT_CODE_UNAVAILABLE, "",
+		   "nothing was changed");
+	child_fault(&platform, "{\"down\": false}");
+	expect_run(evacuate("zone-a", "ana", NULL), EXIT_CODE_OK,
+		   "applied generation 2", "");
+}
+END_TEST
+
+static void serve_zones(struct evhttp_request *req, void *arg G_GNUC_UNUSED)
+{
+	evbuffer_add_printf(evhttp_request_get_output_buffer(req), "%s",
+			    "{\"id\":\"e1\",\"entry\":{\"upstreams\":["
+			    "{\"vm\":\"v2\",\"zone\":\"zone-b\"},"
+			    "{\"vm\":\"v1\",\"zone\":\"zone-a\"}]}}");
+	evhttp_send_reply(req, 200, NULL, NULL);
+}
+
+/*
+ * Guards against a misspelt zone that is accepted, so that the operator takes
+ * the zone for evacuated.
+ */
+START_TEST(test_evacuate_unknown_zone)
+{
+	char closed[32];
+
+	child_closed_address(closed, sizeof(closed));
+	put_entry("e0", closed);
+	serve("e1", serve_zones);
+	expect_run(evacuate("zone-c", "ana", "test"), EXIT_CODE_FAILED, "",
+		   "no VM is in zone zone-c; expected one of: zone-a, zone-b; "
+		   "nothing was changed");
+	expect_run(evacuate("zone-b", "ana", "test"), EXIT_CODE_OK,
+		   "applied generation 1: zone zone-b is evacuated", "");
+}
+END_TEST
+
+static const struct {
+	/* Appended to "radishpier evacuate". */
+	const char *arguments;
+	const char *err;
+} bad_evacuations[] = {
+	{ "", "missing option ZONE" },
+	{ "zone-a --author a", "missing option --reason" },
+	{ "zone-a --reason r", "missing option --author" },
+	{ "zone-a --author '' --reason r",
+	  "--author: the value is empty; expected a text" },
+	{ "zone-a --author a --reason ''",
+	  "--reason: the value is empty; expected a text" },
+	{ "zone-a --author= --end", "--author: the value is empty" },
+	{ "zone-a --author a --reason '\n'",
+	  "reason: expected 1 to 512 bytes of UTF-8 on one line, not an empty "
+	  "text; nothing was changed" },
+	{ "zone-a --author a --end --reason '\n'",
+	  "reason: expected 1 to 512 bytes" },
+	{ "'zone a' --author a --reason r",
+	  "zone: expected 1 to 64 letters, digits, '.', '_' or '-'" },
+	{ "zone-a zone-b --author a --reason r", "zone-b" },
+	{ "zone-a --author a --reason r --force", "--force" },
+};
+
+/* Guards against wrong arguments that are accepted or not explained. */
+START_TEST(test_bad_evacuations)
+{
+	g_autofree char *line = g_strdup_printf(
+		"%s evacuate %s --kv %s", binary, bad_evacuations[_i].arguments,
+		platform.address);
+	g_auto(GStrv) argv = NULL;
+
+	ck_assert(g_shell_parse_argv(line, NULL, &argv, NULL));
+	expect_run(run_command(argv), EXIT_CODE_USAGE, "",
+		   bad_evacuations[_i].err);
+}
+END_TEST
+
 static const struct {
 	/* Appended to "radishpier", so that it also names radishpier-agent. */
 	const char *arguments;
@@ -440,6 +639,12 @@
 	tcase_add_test(tcase, test_down);
 	tcase_add_test(tcase, test_later_document);
 	tcase_add_test(tcase, test_status);
+	tcase_add_test(tcase, test_evacuate);
+	tcase_add_test(tcase, test_evacuate_race);
+	tcase_add_test(tcase, test_evacuate_lost_answer);
+	tcase_add_test(tcase, test_evacuate_unknown_zone);
+	tcase_add_loop_test(tcase, test_bad_evacuations, 0,
+			    G_N_ELEMENTS(bad_evacuations));
 	tcase_add_loop_test(tcase, test_usage, 0, G_N_ELEMENTS(usages));
 	suite_add_tcase(suite, tcase);
 	return fixture_run(suite);
--- a/radishpier/main.c
+++ b/radishpier/main.c
@@ -28,15 +28,16 @@
 #endif
 	"  check    check routes and pools without any effect\n"
 	"  apply    put routes and pools in force\n"
+	"  evacuate take an availability zone out of service, or return it\n"
 	"  show     print the tables in force as JSON\n"
-	"  history  print who changed the tables, and what\n"
+	"  history  print who changed tables and evacuations, and what\n"
 	"  status   print pools, upstreams, queues and waiting jobs\n"
 	"\n"
 	"radishpier COMMAND --help lists the options of a command.\n"
 	"\n"
 	"exit codes:\n"
 	"  0  done\n"
-	"  1  failed, such as a lost race of apply; nothing was changed\n"
+	"  1  failed, such as a lost race of a change; nothing was changed\n"
 	"  2  wrong arguments\n"
 	"  3  settings or tables are invalid\n"
 	"  4  a service that is needed cannot be reached\n"
@@ -50,6 +51,9 @@
 	OPT_POOLS,
 	OPT_AUTHOR,
 	OPT_EXPECT,
+	OPT_ZONE,
+	OPT_REASON,
+	OPT_END_EVACUATION,
 	OPT_LAST,
 	OPT_JSON,
 	OPT_KV,
@@ -66,6 +70,9 @@
 	struct arg_file *pools;
 	struct arg_str *author;
 	struct arg_str *expect;
+	struct arg_str *zone;
+	struct arg_str *reason;
+	struct arg_lit *end_evacuation;
 	struct arg_int *last;
 	struct arg_lit *json;
 	struct arg_str *kv;
@@ -135,6 +142,20 @@
 	return cli_apply(cli, &apply);
 }
 
+static int run_evacuate(struct cli_kv *cli, const struct options *opt)
+{
+	struct cli_evacuate evacuate = {
+		.zone = opt->zone->sval[0],
+		.author = opt->author->sval[0],
+		.reason = opt->reason->count ? opt->reason->sval[0] : NULL,
+		.end = opt->end_evacuation->count > 0,
+	};
+
+	if (!evacuate.end && !evacuate.reason)
+		return fail("missing option --reason", EXIT_CODE_USAGE);
+	return cli_evacuate(cli, &evacuate);
+}
+
 static int run_show(struct cli_kv *cli, const struct options *opt G_GNUC_UNUSED)
 {
 	return cli_show(cli);
@@ -171,6 +192,9 @@
 	{ "apply", NULL, run_apply,
 	  1 << OPT_ROUTES | 1 << OPT_POOLS | 1 << OPT_AUTHOR | 1 << OPT_EXPECT |
 		  1 << OPT_KV },
+	{ "evacuate", NULL, run_evacuate,
+	  1 << OPT_ZONE | 1 << OPT_AUTHOR | 1 << OPT_REASON |
+		  1 << OPT_END_EVACUATION | 1 << OPT_KV },
 	{ "show", NULL, run_show, 1 << OPT_KV },
 	{ "history", NULL, run_history, 1 << OPT_LAST | 1 << OPT_KV },
 	{ "status", NULL, run_status, 1 << OPT_JSON | 1 << OPT_KV },
@@ -199,6 +223,26 @@
 	arg_print_glossary_gnu(stdout, table);
 }
 
+/* Reports an empty value, whose option argtable2 does not name. */
+static gboolean has_empty_value(int argc, char **argv)
+{
+	int i;
+
+	for (i = 1; i < argc; i++) {
+		const char *option = *argv[i] ? argv[i] : argv[i - 1];
+
+		if (*argv[i] && !(g_str_has_prefix(option, "--") &&
+				  g_str_has_suffix(option, "=")))
+			continue;
+		fprintf(stderr,
+			"radishpier: %.*s: the value is empty; expected a "
+			"text\n",
+			(int)strcspn(option, "="), option);
+		return TRUE;
+	}
+	return FALSE;
+}
+
 /* Parses the options that follow the command's name and runs it. */
 static int run_command(const struct command *command, int argc, char **argv)
 {
@@ -211,6 +255,10 @@
 			 "who makes the change, for the history"),
 		arg_str0(NULL, "expect", "GENERATION",
 			 "change nothing unless this one is in force"),
+		arg_str1(NULL, NULL, "ZONE", "availability zone"),
+		arg_str0(NULL, "reason", "TEXT",
+			 "why it is evacuated, for status and history"),
+		arg_lit0(NULL, "end", "return the zone to service"),
 		arg_int0(NULL, "last", "N", "changes to print, 20 by default"),
 		arg_lit0(NULL, "json", "print the entries' answers as JSON"),
 		arg_strn(NULL, "kv", "IP:PORT", 1, MAX_ENDPOINTS,
@@ -229,7 +277,9 @@
 	for (i = 0; i < OPTIONS; i++)
 		if (wanted & 1U << i)
 			table[n++] = all[i];
-	if (arg_parse(argc, argv, table) > 0 && !opt.help->count) {
+	if (has_empty_value(argc, argv)) {
+		code = EXIT_CODE_USAGE;
+	} else if (arg_parse(argc, argv, table) > 0 && !opt.help->count) {
 		arg_print_errors(stderr, opt.end, "radishpier");
 		code = EXIT_CODE_USAGE;
 	} else if (opt.help->count) {
