--- a/agent/agent.c
+++ b/agent/agent.c
@@ -48,6 +48,7 @@
 					    g_free);
 	agt->intf = agt_intf_new(options);
 	agt->refused = g_queue_new();
+	agt->evacuations = evac_new();
 	agt->grant_requests = g_array_new(FALSE, FALSE,
 					  sizeof(struct grant_request));
 	for (i = 0; i < options->n_pools; i++) {
@@ -83,6 +84,8 @@
 	g_queue_free_full(agt->refused, g_free);
 	agt_intf_free(agt->intf);
 	g_array_free(agt->grant_requests, TRUE);
+	evac_free(agt->evacuations);
+	g_clear_pointer(&agt->evacuations_document, g_bytes_unref);
 	cfg_tables_free(agt->tables);
 	g_clear_pointer(&agt->tables_bytes, g_bytes_unref);
 	g_free(agt);
@@ -198,6 +201,9 @@
 	case RP__FRAME__BODY_TABLES_DELTA:
 		agt_tables_delta(agt, peer, frame->tables_delta);
 		break;
+	case RP__FRAME__BODY_EVACUATION_UPDATE:
+		agt_evacuation_received(agt, peer, frame->evacuation_update);
+		break;
 	case RP__FRAME__BODY_SHARD_TERM:
 		agt_shard_term(agt, peer, frame->shard_term);
 		break;
@@ -405,21 +411,24 @@
 	obs_json_string(out, agt->zone, -1);
 	g_string_append(out, ",\"worker_boot_id\":");
 	obs_json_string(out, agt->worker_boot_id, -1);
-	g_string_append_printf(out,
-			       ",\"ready\":%s,\"draining\":%s,\"slots\":%u,"
-			       "\"slots_in_use\":%u,\"slots_inherited\":%u,"
-			       "\"committed_cpu_milli\":%" G_GINT64_FORMAT
-			       ",\"committed_memory_bytes\":%" G_GINT64_FORMAT
-			       ",\"committed_accelerators\":%" G_GINT64_FORMAT
-			       ",\"generation\":%" G_GUINT64_FORMAT
-			       ",\"session\":%" G_GUINT64_FORMAT
-			       ",\"grant_until_ms\":%" G_GINT64_FORMAT,
-			       agt_ready(agt) ? "true" : "false",
-			       agt->draining ? "true" : "false", agt->slots,
-			       c.slots, agt->carried_over->len, c.cpu_milli,
-			       c.memory_bytes, c.accelerators,
-			       c.tables_generation, c.session,
-			       c.grant_until_ms);
+	g_string_append_printf(
+		out,
+		",\"ready\":%s,\"draining\":%s,"
+		"\"evacuated\":%s,\"evacuations_generation\":"
+		"%" G_GUINT64_FORMAT ",\"slots\":%u,"
+		"\"slots_in_use\":%u,\"slots_inherited\":%u,"
+		"\"committed_cpu_milli\":%" G_GINT64_FORMAT
+		",\"committed_memory_bytes\":%" G_GINT64_FORMAT
+		",\"committed_accelerators\":%" G_GINT64_FORMAT
+		",\"generation\":%" G_GUINT64_FORMAT
+		",\"session\":%" G_GUINT64_FORMAT
+		",\"grant_until_ms\":%" G_GINT64_FORMAT,
+		agt_ready(agt) ? "true" : "false",
+		agt->draining ? "true" : "false",
+		agt->evacuated ? "true" : "false", agt->evacuations->generation,
+		agt->slots, c.slots, agt->carried_over->len, c.cpu_milli,
+		c.memory_bytes, c.accelerators, c.tables_generation, c.session,
+		c.grant_until_ms);
 	append_tasks(agt, out);
 	agt_intf_status(agt, out);
 	append_peers(agt, out);
--- a/agent/agent_test.h
+++ b/agent/agent_test.h
@@ -264,6 +264,7 @@
 	static const char *const entries[] = { "10.0.0.1:1", "10.0.0.2:1" };
 	struct agt_options options = {
 		.vm = "v1",
+		.zone = "zone-a",
 		.pools = pools,
 		.n_pools = 2,
 		.slots = 4,
--- a/agent/internal.h
+++ b/agent/internal.h
@@ -1,6 +1,7 @@
 #ifndef AGENT_INTERNAL_H
 #define AGENT_INTERNAL_H
 
+#include "../evac/evac.h"
 #include "agent.h"
 
 /* Private to the sources and tests of agent/. */
@@ -46,6 +47,8 @@
 	gint64 last_seen_ms;
 	/** Highest generation of the tables sent on this connection. */
 	guint64 tables_sent;
+	/** Highest generation of the evacuations sent on this connection. */
+	guint64 evacuations_sent;
 	/** Pool name to the slots of all VMs, as reported by this entry. */
 	GHashTable *fleet_slots;
 };
@@ -282,6 +285,12 @@
 	struct cfg_tables *tables;
 	GBytes *tables_bytes;
 
+	/** Evacuations in force, and their document; NULL at generation 0. */
+	struct evac *evacuations;
+	GBytes *evacuations_document;
+	/** The zone of the VM is evacuated. */
+	gboolean evacuated;
+
 	/** Key to struct task. */
 	GHashTable *tasks;
 	guint64 last_admission_number;
@@ -377,6 +386,12 @@
 void agt_tables_delta(struct agt *agt, struct peer *peer,
 		      const struct Rp__TablesDelta *delta);
 
+/* evacuation.c: evacuated zones. */
+void agt_evacuation_received(struct agt *agt, struct peer *peer,
+			     const struct Rp__EvacuationUpdate *update);
+/* Sends the document unless the entry was sent it on this connection. */
+void agt_evacuation_send(struct agt *agt, struct peer *peer);
+
 /* request.c: admission and forwarding of requests. */
 struct pool *agt_pool_find(struct agt *agt, const char *name);
 void agt_pools_recompute(struct agt *agt);
--- a/agent/peers.c
+++ b/agent/peers.c
@@ -93,6 +93,7 @@
 	peer->connected = FALSE;
 	peer->welcomed = FALSE;
 	peer->tables_sent = 0;
+	peer->evacuations_sent = 0;
 	g_clear_pointer(&peer->entry_id, g_free);
 	g_hash_table_remove_all(peer->fleet_slots);
 	agt_pools_recompute(agt);
@@ -253,6 +254,7 @@
 		close_other_connections(agt, peer);
 	if (welcome->tables_generation < agt_generation(agt))
 		agt_tables_send(agt, peer);
+	agt_evacuation_send(agt, peer);
 	for (i = 0; i < welcome->n_entry_addresses; i++)
 		agt_peers_add(agt, welcome->entry_addresses[i], FALSE);
 	agt->report_urgent = TRUE;
--- a/agent/request.c
+++ b/agent/request.c
@@ -150,6 +150,10 @@
 {
 	if (agt->draining)
 		return RP__REASON__REASON_DRAINING;
+	if (agt->evacuated) {
+		agt_evacuation_send(agt, peer);
+		return RP__REASON__REASON_EVACUATED;
+	}
 	if (request->tables_generation < agt_generation(agt)) {
 		agt_tables_send(agt, peer);
 		return RP__REASON__REASON_STALE_TABLES;
--- a/agent/task.c
+++ b/agent/task.c
@@ -270,6 +270,10 @@
 	*detail = NULL;
 	if (agt->draining)
 		return RP__REASON__REASON_DRAINING;
+	if (agt->evacuated) {
+		*detail = "the zone of the VM is evacuated";
+		return RP__REASON__REASON_EVACUATED;
+	}
 	if (!agt->has_worker || agt->worker_unreachable) {
 		*detail = "the worker cannot be reached";
 		return RP__REASON__REASON_NO_CAPACITY;
@@ -310,6 +314,8 @@
 		return;
 	}
 	reason = start_refusal(agt, start, &detail);
+	if (reason == RP__REASON__REASON_EVACUATED)
+		agt_evacuation_send(agt, peer);
 	task = agt_task_add(agt, start->job_id, start->attempt, start->shard);
 	task->session = start->session;
 	task->pool = g_strdup(start->pool);
--- a/agent/worker.c
+++ b/agent/worker.c
@@ -89,7 +89,12 @@
 		if (!task->stop_confirmed)
 			call(agt, task, AGT_FX_WORKER_STOP);
 	} else if (task->start) {
-		call_start(agt, task);
+		/*
+		 * In an evacuated zone, an unanswered start is not repeated:
+		 * the next list shows whether it took effect.
+		 */
+		if (!agt->evacuated)
+			call_start(agt, task);
 	} else if (task->evict_wanted) {
 		call(agt, task, AGT_FX_WORKER_CHECKPOINT);
 	} else if (task->throttle_wanted) {
@@ -369,6 +374,10 @@
 	} else if (task->start && !task->stop_confirmed) {
 		/* Next, the unanswered start is sent again, or the stop if one
 		 * is wanted. */
+		if (agt->evacuated && !task->stop_wanted) {
+			task->stop_wanted = TRUE;
+			task->reason = RP__REASON__REASON_EVACUATED;
+		}
 		return;
 	} else if (task->reason == RP__REASON__REASON_START_FAILED) {
 		agt_task_set_final(agt, task, RP__TASK_STATE__TASK_STATE_FAILED,
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -243,6 +243,8 @@
 	else if (frame->body_case == RP__FRAME__BODY_TABLES_WANTED &&
 		 ent_tables_wanted(ent, conn) == 0)
 		return;
+	else if (frame->body_case == RP__FRAME__BODY_EVACUATION_UPDATE)
+		ent_evacuation_update(ent, conn, frame->evacuation_update);
 	else if (conn->agent)
 		event->frame.frame = agent_frame(ent, conn, frame) ? NULL
 								   : frame;
@@ -258,10 +260,12 @@
 		unexpected_frame(ent, conn, frame);
 }
 
-static void event_tick(struct ent *ent)
+static void event_tick(struct ent *ent, gboolean evacuations_current)
 {
 	struct job_event event = { .kind = JOB_EV_TICK };
 
+	if (evacuations_current)
+		ent->evacuations_current_ms = ent->now_ms;
 	if (ent->now_ms - ent->last_scan_ms >= ENT_SCAN_INTERVAL_MS) {
 		ent->last_scan_ms = ent->now_ms;
 		ent_upstreams_scan(ent);
@@ -303,7 +307,7 @@
 {
 	switch (event->kind) {
 	case ENT_EV_TICK:
-		event_tick(ent);
+		event_tick(ent, event->tick.evacuations_current);
 		break;
 	case ENT_EV_REQUEST:
 		ent_request_new(ent, &event->request);
@@ -325,6 +329,10 @@
 		ent_tables_receive(ent, event->tables.data, event->tables.len,
 				   NULL);
 		break;
+	case ENT_EV_EVACUATIONS:
+		ent_evacuation_receive(ent, event->evacuations.data,
+				       event->evacuations.len, NULL);
+		break;
 	case ENT_EV_KEY_CLAIM:
 		ent_request_claim_answered(ent, event->claim.handle,
 					   event->claim.result);
@@ -363,7 +371,9 @@
 				    .seed = options->seed + 1,
 				    .instance = options->instance,
 				    .boot_id = options->boot_id,
-				    .agent_address = options->agent_address };
+				    .agent_address = options->agent_address,
+				    .wait_for_evacuations =
+					    options->wait_for_evacuations };
 	struct ent *ent = g_new0(struct ent, 1);
 
 	ent->id = g_strdup(options->id);
@@ -373,6 +383,8 @@
 	ent->no_limits = options->no_admission_limits;
 	ent->no_ejections = options->no_ejections;
 	ent->n_alive = 1;
+	ent->evacuations = evac_new();
+	ent->evacuations_read = !options->wait_for_evacuations;
 	ent->pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					   ent_pool_free);
 	ent->pools_by_priority = g_ptr_array_new();
@@ -445,6 +457,8 @@
 	cfg_tables_free(ent->tables);
 	g_clear_pointer(&ent->document, g_bytes_unref);
 	g_ptr_array_unref(ent->old_documents);
+	evac_free(ent->evacuations);
+	g_clear_pointer(&ent->evacuations_document, g_bytes_unref);
 	g_rand_free(ent->random);
 	g_free(ent->zone);
 	g_free(ent->id);
@@ -468,7 +482,8 @@
 
 gboolean ent_ready(const struct ent *ent)
 {
-	return ent->tables && g_hash_table_size(ent->agents) > 0;
+	return ent->tables && ent->evacuations_read &&
+	       g_hash_table_size(ent->agents) > 0;
 }
 
 unsigned ent_queued_requests(const struct ent *ent, const char *pool)
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -49,6 +49,13 @@
 	gboolean no_admission_limits;
 	/** For baselines: failing upstreams are not ejected. */
 	gboolean no_ejections;
+	/**
+	 * The evacuated zones are not known before the first ENT_EV_EVACUATIONS
+	 * or an EvacuationUpdate of a peer that knows them: until then requests
+	 * are refused and no job is placed. Without it, no zone is evacuated at
+	 * first.
+	 */
+	gboolean wait_for_evacuations;
 };
 
 enum ent_event_kind {
@@ -65,6 +72,11 @@
 	ENT_EV_PEER_CONNECTED,
 	/** A table document read from the key-value store. */
 	ENT_EV_TABLES,
+	/**
+	 * The evacuation document (evac/evac.h) was read from the key-value
+	 * store.
+	 */
+	ENT_EV_EVACUATIONS,
 	/** Answer to ENT_FX_CLAIM_KEY, also if the request has ended. */
 	ENT_EV_KEY_CLAIM,
 	/**
@@ -125,10 +137,22 @@
 		struct {
 			guint64 conn;
 		} conn;
+		struct {
+			/**
+			 * The store reports changes of the evacuations: those
+			 * read last are current.
+			 */
+			gboolean evacuations_current;
+		} tick;
 		struct {
 			const void *data;
 			size_t len;
 		} tables;
+		struct {
+			/** NULL if the store has no document. */
+			const void *data;
+			size_t len;
+		} evacuations;
 		struct {
 			guint64 handle;
 			enum ent_claim result;
@@ -230,9 +254,18 @@
 /** Returns the job scheduler, for its read-only functions. */
 const struct job *ent_jobs(const struct ent *ent);
 
-/** TRUE if tables are in force and an agent is connected. */
+/**
+ * TRUE if tables are in force, an agent is connected and the evacuated zones
+ * are known.
+ */
 gboolean ent_ready(const struct ent *ent);
 
+/** Returns the evacuations in force, or NULL if they are not known yet. */
+const struct evac *ent_evacuations(const struct ent *ent);
+
+/** Time since the evacuations were last known to be current, or -1. */
+gint64 ent_evacuations_age_ms(const struct ent *ent);
+
 /**
  * Returns the connection to the peer that claims the shard under the highest
  * term, or 0 if no connected peer has a higher term than this entry.
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -16,6 +16,12 @@
 /* A registered peer counts as alive for this time after it disconnected. */
 #define ENT_PEER_LOST_MS 10000
 
+/*
+ * Requests are queued for this time after a pool lost its last upstream, which
+ * may reconnect.
+ */
+#define ENT_NO_UPSTREAM_GRACE_MS 5000
+
 /* Value of request->heap_pos[]. */
 #define ENT_NOT_IN_HEAP G_MAXUINT
 
@@ -39,6 +45,8 @@
 	FAIL_NO_ROUTE,
 	FAIL_NO_POOL,
 	FAIL_ENTRY_DRAINING,
+	FAIL_EVACUATIONS_UNREAD,
+	FAIL_EVACUATED,
 	FAIL_NO_UPSTREAM,
 	FAIL_QUEUE_FULL,
 	FAIL_SHED,
@@ -91,13 +99,17 @@
 	GPtrArray *members;
 	unsigned n_available;
 	unsigned n_draining;
+	/* In an evacuated zone and not draining. */
+	unsigned n_evacuated;
 	unsigned n_ejected;
-	/* Slots of the members that are not draining. */
+	/* Slots of the members in service: not draining or evacuated. */
 	guint64 fleet_slots;
 	/* fleet_slots has changed since the last FleetInfo. */
 	gboolean slots_changed;
 	/* When a member last joined, left or changed its draining state. */
 	gint64 members_changed_ms;
+	/* When a member in service last began to drain or disconnected. */
+	gint64 member_lost_ms;
 	/* Round-robin position. */
 	unsigned next_member;
 
@@ -194,6 +206,8 @@
 	unsigned others_in_use;
 	gint64 others_updated_ms;
 	gboolean draining;
+	/* Its zone is evacuated. */
+	gboolean evacuated;
 	/* Generation of its tables, as last reported. */
 	guint64 tables_generation;
 	/* Of struct member, which the agent owns. */
@@ -245,6 +259,10 @@
 	unsigned deltas_sent;
 	/* Newest generation of tables that the other side holds or was sent. */
 	guint64 generation;
+	/* The same for the evacuations; and whether it was sent that they were
+	 * read. */
+	guint64 evacuations_generation;
+	gboolean evacuations_read_sent;
 };
 
 /* A key claim without an answer, whose request has ended. */
@@ -305,6 +323,14 @@
 	/* Of struct old_document, newest first. */
 	GPtrArray *old_documents;
 
+	/* Evacuations in force, and their document; NULL at generation 0. */
+	struct evac *evacuations;
+	GBytes *evacuations_document;
+	/* FALSE while the evacuated zones are not known. */
+	gboolean evacuations_read;
+	/* When they were last known to be current. */
+	gint64 evacuations_current_ms;
+
 	/* Name to struct pool; the array has the most urgent first. */
 	GHashTable *pools;
 	GPtrArray *pools_by_priority;
@@ -419,6 +445,10 @@
 /* others: slots in use by others, for each pool in the order of Hello. */
 void ent_agent_set_others_in_use(struct ent *ent, struct agent *agent,
 				 const uint32_t *others, size_t n);
+void ent_agent_set_evacuated(struct ent *ent, struct agent *agent,
+			     gboolean evacuated);
+/* TRUE if the agent takes no new requests: it drains or is evacuated. */
+gboolean ent_agent_out_of_service(const struct agent *agent);
 void ent_agent_free(struct ent *ent, struct agent *agent);
 /* Recomputes the free slots of the agent and which pools may use it. */
 void ent_agent_update_free_slots(struct ent *ent, struct agent *agent);
@@ -468,6 +498,8 @@
 struct pool *ent_pool_get(struct ent *ent, const char *name);
 void ent_pool_free(void *pool);
 void ent_pool_init_limits(struct pool *pool);
+/* Number of members that neither drain nor are in an evacuated zone. */
+unsigned ent_pool_members_in_service(const struct pool *pool);
 /* This entry's share of a fleet-wide limit; the shares add up to it. */
 unsigned ent_pool_share(const struct ent *ent, unsigned fleet_limit);
 /* Requests that this entry may have in flight now; G_MAXUINT: no limit. */
@@ -519,6 +551,22 @@
 void ent_old_document_free(gpointer data);
 guint64 ent_tables_generation(const struct ent *ent);
 
+/* evacuation.c */
+/*
+ * Adopts a document if its generation is higher. data is NULL for an absent
+ * one; from is NULL if it is the store's.
+ */
+void ent_evacuation_receive(struct ent *ent, const void *data, size_t len,
+			    struct conn *from);
+void ent_evacuation_update(struct ent *ent, struct conn *conn,
+			   const struct Rp__EvacuationUpdate *update);
+/* Sends the document if the other side may lack it. */
+void ent_evacuation_send(struct ent *ent, struct conn *conn);
+gboolean ent_zone_evacuated(const struct ent *ent, const char *zone);
+/* TRUE if the pool has upstreams, but only in evacuated zones. */
+gboolean ent_pool_evacuated(const struct ent *ent, const struct pool *pool);
+void ent_evacuation_status_json(const struct ent *ent, GString *out);
+
 /* peers.c */
 void ent_peer_connected(struct ent *ent, struct conn *conn);
 void ent_peer_hello(struct ent *ent, struct conn *conn,
--- a/entry/limit.c
+++ b/entry/limit.c
@@ -62,6 +62,7 @@
 	pool->name = g_strdup(name);
 	pool->members = g_ptr_array_new();
 	pool->members_changed_ms = G_MININT64 / 2;
+	pool->member_lost_ms = G_MININT64 / 2;
 	pool->last_failure = FAIL_KINDS;
 	ent_heap_init(&pool->queue, HEAP_QUEUE);
 	ent_pool_init_limits(pool);
@@ -80,6 +81,11 @@
 	g_free(pool);
 }
 
+unsigned ent_pool_members_in_service(const struct pool *pool)
+{
+	return pool->members->len - pool->n_draining - pool->n_evacuated;
+}
+
 unsigned ent_pool_share(const struct ent *ent, unsigned fleet_limit)
 {
 	unsigned share = fleet_limit / ent->n_alive;
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -101,7 +101,7 @@
 /* Queued requests that would use a slot if a peer freed one. */
 static unsigned queued_for_slots(const struct pool *pool)
 {
-	if (pool->members->len == pool->n_draining)
+	if (!ent_pool_members_in_service(pool))
 		return 0;
 	return ent_heap_size(&pool->queue);
 }
@@ -207,6 +207,7 @@
 	}
 	conn->accepts_deltas = hello->accepts_deltas;
 	ent_tables_send_if_newer(ent, conn, hello->tables_generation);
+	ent_evacuation_send(ent, conn);
 }
 
 /* Returns how many peers queue requests; adds the slots they want. */
@@ -240,7 +241,7 @@
 	for (unsigned i = 0; i < pool->members->len; i++) {
 		const struct member *member = pool->members->pdata[i];
 
-		if (!member->agent->draining)
+		if (!ent_agent_out_of_service(member->agent))
 			slots += member->others_in_use + member->free_slots;
 	}
 	return slots;
--- a/entry/queue.c
+++ b/entry/queue.c
@@ -1,11 +1,5 @@
 #include "internal.h"
 
-/*
- * Requests are queued for this time after a pool lost its last upstream, which
- * may reconnect.
- */
-#define NO_UPSTREAM_GRACE_MS 5000
-
 void ent_queue_leave(struct ent *ent, struct request *request)
 {
 	if (request->heap_pos[HEAP_QUEUE] == ENT_NOT_IN_HEAP)
@@ -73,9 +67,11 @@
 	const struct pool *pool = request->pool;
 	gint64 wait = ent_pool_expected_wait_ms(pool);
 
-	if (pool->members->len == pool->n_draining &&
+	if (ent_pool_evacuated(ent, pool))
+		return FAIL_EVACUATED;
+	if (!ent_pool_members_in_service(pool) &&
 	    (!pool->queue_length ||
-	     ent->now_ms - pool->members_changed_ms > NO_UPSTREAM_GRACE_MS))
+	     ent->now_ms - pool->members_changed_ms > ENT_NO_UPSTREAM_GRACE_MS))
 		return FAIL_NO_UPSTREAM;
 	if (ent->no_limits)
 		return FAIL_KINDS;
@@ -97,6 +93,9 @@
 {
 	struct request *request;
 
+	while ((request = ent_heap_top(&pool->queue)) != NULL &&
+	       ent_pool_evacuated(ent, pool))
+		ent_request_fail(ent, request, FAIL_EVACUATED);
 	while (pool->in_flight + pool->pending_claims < up_to &&
 	       (request = ent_heap_top(&pool->queue)) != NULL &&
 	       ent_request_may_start(ent, request)) {
--- a/entry/request.c
+++ b/entry/request.c
@@ -7,6 +7,12 @@
 
 #define RETRY_AFTER_MAX_S 30
 
+/*
+ * Retry-After while all upstreams of a pool are evacuated. Nobody knows when an
+ * operator will end that; within 5 s, the end is in force everywhere.
+ */
+#define EVACUATED_RETRY_AFTER_S 5
+
 /*
  * Maximum number of refusals of one request by agents. Each refusal shows the
  * entry an agent to avoid, so a request is seldom refused often; without a
@@ -34,6 +40,14 @@
 				  RP__OUTCOME__OUTCOME_NOT_RUN,
 				  RP__REASON__REASON_DRAINING,
 				  "this entry is shutting down" },
+	[FAIL_EVACUATIONS_UNREAD] = { "evacuations-unread", 503,
+				      RP__OUTCOME__OUTCOME_NOT_RUN,
+				      RP__REASON__REASON_EVACUATED,
+				      "the evacuated zones were not read yet" },
+	[FAIL_EVACUATED] = { "evacuated", 503, RP__OUTCOME__OUTCOME_NOT_RUN,
+			     RP__REASON__REASON_EVACUATED,
+			     "all upstreams of the pool are in evacuated "
+			     "zones" },
 	[FAIL_NO_UPSTREAM] = { "no-upstream", 503, RP__OUTCOME__OUTCOME_NOT_RUN,
 			       RP__REASON__REASON_NO_CAPACITY,
 			       "no upstream of the pool is connected" },
@@ -126,7 +140,9 @@
 		effect.answer.status =
 			info->reason == RP__REASON__REASON_DEADLINE ? 504 : 502;
 	} else if (info->status == 429 || info->status == 503) {
-		effect.answer.retry_after_s = retry_after_s(pool);
+		effect.answer.retry_after_s = why == FAIL_EVACUATED
+						      ? EVACUATED_RETRY_AFTER_S
+						      : retry_after_s(pool);
 	}
 	g_array_append_val(ent->effects, effect);
 	if (pool)
@@ -340,6 +356,8 @@
 		ent_request_fail(ent, request, FAIL_EXPIRED);
 	else if (!request->pool->configured)
 		ent_request_fail(ent, request, FAIL_NO_POOL);
+	else if (ent_pool_evacuated(ent, request->pool))
+		ent_request_fail(ent, request, FAIL_EVACUATED);
 	else if (ent_request_may_start(ent, request) &&
 		 deadline_too_close(ent, request))
 		ent_request_fail(ent, request, FAIL_NO_TIME);
@@ -443,6 +461,11 @@
 			       FALSE);
 		return;
 	}
+	if (!ent->evacuations_read) {
+		answer_failure(ent, from->handle, NULL, FAIL_EVACUATIONS_UNREAD,
+			       FALSE);
+		return;
+	}
 	if (!ent->tables) {
 		answer_failure(ent, from->handle, NULL, FAIL_NO_TABLES, FALSE);
 		return;
@@ -614,6 +637,14 @@
 	case RP__REASON__REASON_NO_SLOT:
 		ent_member_back_off(ent, member);
 		break;
+	case RP__REASON__REASON_EVACUATED:
+		/*
+		 * The agent sent its document before this reply. If that was
+		 * not adopted here, the agent would refuse again.
+		 */
+		if (!member->agent->evacuated)
+			ent_member_back_off(ent, member);
+		break;
 	case RP__REASON__REASON_STALE_TABLES:
 		/*
 		 * The agent sent its newer tables before this reply. If they
@@ -656,6 +687,7 @@
 	case RP__REASON__REASON_NO_SLOT:
 	case RP__REASON__REASON_DRAINING:
 	case RP__REASON__REASON_STALE_TABLES:
+	case RP__REASON__REASON_EVACUATED:
 		request_refused(ent, request);
 		break;
 	default:
--- a/entry/status.c
+++ b/entry/status.c
@@ -20,7 +20,9 @@
 		return "the tables in force do not name the pool";
 	if (!pool->members->len)
 		return "no upstream of the pool is connected";
-	if (pool->members->len == pool->n_draining)
+	if (ent_pool_evacuated(ent, pool))
+		return "all upstreams of the pool are in evacuated zones";
+	if (!ent_pool_members_in_service(pool))
 		return "all upstreams of the pool are draining";
 	if (pool->in_flight + pool->pending_claims >= limit) {
 		if (pool->max_requests &&
@@ -35,7 +37,8 @@
 		return NULL;
 	for (unsigned i = 0; i < pool->members->len; i++) {
 		member = pool->members->pdata[i];
-		if (!member->agent->draining && !member->ejected &&
+		if (!ent_agent_out_of_service(member->agent) &&
+		    !member->ejected &&
 		    member->agent->in_flight + ent_agent_others_in_use(
 						       ent, member->agent) <
 			    member->agent->slots)
@@ -136,11 +139,13 @@
 	string_field(out, "zone", agent->zone);
 	g_string_append_printf(out,
 			       ",\"slots\":%u,\"in_flight\":%u,\"others\":%u,"
-			       "\"draining\":%s,\"tables_generation\":"
+			       "\"draining\":%s,\"evacuated\":%s,"
+			       "\"tables_generation\":"
 			       "%" G_GUINT64_FORMAT ",\"pools\":[",
 			       agent->slots, agent->in_flight,
 			       ent_agent_others_in_use(ent, agent),
 			       agent->draining ? "true" : "false",
+			       agent->evacuated ? "true" : "false",
 			       agent->tables_generation);
 	for (unsigned i = 0; i < agent->members->len; i++) {
 		if (i)
@@ -184,6 +189,8 @@
 		ent_tables_generation(ent), ent->draining ? "true" : "false",
 		g_hash_table_size(ent->requests), ent->queued, ent->n_alive);
 	failures_json(ent->failures, out);
+	g_string_append(out, ",\"evacuations\":");
+	ent_evacuation_status_json(ent, out);
 	g_string_append(out, ",\"pools\":[");
 	for (unsigned i = 0; i < pools->len; i++) {
 		if (i)
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -131,6 +131,7 @@
 {
 	unsigned used = agent->in_flight + ent_agent_others_in_use(ent, agent);
 	unsigned unused = agent->slots > used ? agent->slots - used : 0;
+	gboolean out = ent_agent_out_of_service(agent);
 	unsigned reserved = 0;
 
 	for (unsigned i = 0; i < agent->members->len; i++)
@@ -139,8 +140,7 @@
 		struct member *member = agent->members->pdata[i];
 
 		member->free_slots = free_slots(ent, member, unused, reserved);
-		member_set_available(member, member->free_slots &&
-						     !agent->draining &&
+		member_set_available(member, member->free_slots && !out &&
 						     !member->ejected &&
 						     !member->backoff_until_ms);
 	}
@@ -160,7 +160,7 @@
 /* Ends ejections until at most half of the pool is ejected. */
 static void pool_bound_ejections(struct ent *ent, struct pool *pool)
 {
-	while (pool->n_ejected > (pool->members->len - pool->n_draining) / 2) {
+	while (pool->n_ejected > ent_pool_members_in_service(pool) / 2) {
 		struct member *first = NULL;
 
 		for (unsigned i = 0; i < pool->members->len; i++) {
@@ -207,6 +207,8 @@
 	g_ptr_array_set_size(pool->members, (int)pool->members->len - 1);
 	if (member->agent->draining)
 		pool->n_draining--;
+	else if (member->agent->evacuated)
+		pool->n_evacuated--;
 	else
 		pool->fleet_slots -= member->agent->slots;
 	pool->slots_changed = TRUE;
@@ -310,8 +312,11 @@
 	agent_new(ent, conn, hello);
 	conn->accepts_deltas = hello->accepts_deltas;
 	ent_agent_set_draining(ent, conn->agent, hello->draining);
+	ent_agent_set_evacuated(ent, conn->agent,
+				ent_zone_evacuated(ent, conn->agent->zone));
 	ent_agent_update_free_slots(ent, conn->agent);
 	welcome_send(ent, conn);
+	ent_evacuation_send(ent, conn);
 	ent_tables_send_if_newer(ent, conn, hello->tables_generation);
 	ent_fleet_info_send(ent, conn->agent);
 	ent_fx_log(ent, G_LOG_LEVEL_INFO, NULL,
@@ -320,32 +325,67 @@
 		   conn->agent->members->len);
 }
 
-void ent_agent_set_draining(struct ent *ent, struct agent *agent,
-			    gboolean draining)
+gboolean ent_agent_out_of_service(const struct agent *agent)
 {
-	if (agent->draining == !!draining)
+	return agent->draining || agent->evacuated;
+}
+
+/* Takes the member out of service, or returns it. */
+static void member_set_out_of_service(struct ent *ent, struct member *member,
+				      gboolean out)
+{
+	struct pool *pool = member->pool;
+
+	member_end_ejection(ent, member);
+	pool->slots_changed = TRUE;
+	pool->members_changed_ms = ent->now_ms;
+	if (out) {
+		pool->fleet_slots -= member->agent->slots;
+	} else {
+		pool->fleet_slots += member->agent->slots;
+		member->slow_start_begin_ms = ent->now_ms;
+	}
+	pool_bound_ejections(ent, pool);
+}
+
+static void agent_set_state(struct ent *ent, struct agent *agent,
+			    gboolean draining, gboolean evacuated)
+{
+	gboolean was_out = ent_agent_out_of_service(agent);
+	gboolean was_draining = agent->draining;
+	gboolean was_evacuated = agent->evacuated && !agent->draining;
+
+	if (draining == agent->draining && evacuated == agent->evacuated)
 		return;
-	agent->draining = !!draining;
+	agent->draining = draining;
+	agent->evacuated = evacuated;
 	for (unsigned i = 0; i < agent->members->len; i++) {
 		struct member *member = agent->members->pdata[i];
 		struct pool *pool = member->pool;
 
-		member_end_ejection(ent, member);
-		pool->slots_changed = TRUE;
-		pool->members_changed_ms = ent->now_ms;
-		if (draining) {
-			pool->n_draining++;
-			pool->fleet_slots -= agent->slots;
-		} else {
-			pool->n_draining--;
-			pool->fleet_slots += agent->slots;
-			member->slow_start_begin_ms = ent->now_ms;
-		}
-		pool_bound_ejections(ent, pool);
+		pool->n_draining += (unsigned)(draining - was_draining);
+		pool->n_evacuated +=
+			(unsigned)((evacuated && !draining) - was_evacuated);
+		if (draining && !was_out)
+			pool->member_lost_ms = ent->now_ms;
+		if (was_out != ent_agent_out_of_service(agent))
+			member_set_out_of_service(ent, member, !was_out);
 	}
 	ent_agent_update_free_slots(ent, agent);
 }
 
+void ent_agent_set_draining(struct ent *ent, struct agent *agent,
+			    gboolean draining)
+{
+	agent_set_state(ent, agent, !!draining, agent->evacuated);
+}
+
+void ent_agent_set_evacuated(struct ent *ent, struct agent *agent,
+			     gboolean evacuated)
+{
+	agent_set_state(ent, agent, agent->draining, !!evacuated);
+}
+
 void ent_member_back_off(struct ent *ent, struct member *member)
 {
 	if (!member->backoff_until_ms)
@@ -607,11 +647,11 @@
 void ent_member_failed(struct ent *ent, struct member *member)
 {
 	struct pool *pool = member->pool;
-	unsigned active = pool->members->len - pool->n_draining;
+	unsigned active = ent_pool_members_in_service(pool);
 
 	member->consecutive_failures++;
 	if (member->consecutive_failures < EJECT_FAILURES || member->ejected ||
-	    ent->no_ejections || member->agent->draining ||
+	    ent->no_ejections || ent_agent_out_of_service(member->agent) ||
 	    pool->n_ejected + 1 > active / 2)
 		return;
 	member->ejected = TRUE;
--- a/jobs/internal.h
+++ b/jobs/internal.h
@@ -496,6 +496,10 @@
 	/* Effects of the event being reduced; borrowed. */
 	GArray *fx;
 	const struct cfg_tables *tables;
+	/* Evacuated zones; NULL if none were reported. */
+	const struct evac *evacuations;
+	/* The evacuated zones are not known yet. */
+	gboolean evacuations_unread;
 
 	/* Lease in the store, or 0. */
 	gint64 lease;
@@ -712,6 +716,10 @@
 /* Every list of the shard that was requested on the connection arrived. */
 gboolean job_vm_list_received(const struct job *job, const struct vm *vm,
 			      unsigned shard);
+/* No attempt may be placed on the VM, which is in an evacuated zone. */
+gboolean job_vm_evacuated(const struct job *job, const struct vm *vm);
+/* Takes back what was placed on evacuated VMs and not sent. */
+void job_vm_evacuations_changed(struct job *job);
 /* A job failed or succeeded on the VM: start or end its quarantine. */
 void job_vm_failed(struct job *job, struct vm *vm, const struct job_item *item);
 void job_vm_succeeded(struct job *job, struct vm *vm,
--- a/jobs/jobs.c
+++ b/jobs/jobs.c
@@ -137,6 +137,7 @@
 	job->random = g_rand_new_with_seed(options->seed);
 	job->first_fit = options->first_fit;
 	job->no_quarantine = options->no_quarantine;
+	job->evacuations_unread = options->wait_for_evacuations;
 	job->max_active = options->max_active ? options->max_active
 					      : JOB_MAX_ACTIVE;
 	job->intf = job_intf_new(options->first_fit ||
@@ -326,6 +327,13 @@
 	}
 }
 
+static void on_evacuations(struct job *job, const struct evac *evacuations)
+{
+	job->evacuations = evacuations;
+	job->evacuations_unread = FALSE;
+	job_vm_evacuations_changed(job);
+}
+
 /* After a pause of this process, agents only seem to be unresponsive. */
 static void restart_liveness(struct job *job)
 {
@@ -370,6 +378,9 @@
 	case JOB_EV_TABLES:
 		on_tables(job, ev->tables.tables);
 		break;
+	case JOB_EV_EVACUATIONS:
+		on_evacuations(job, ev->evacuations.evacuations);
+		break;
 	case JOB_EV_AGENT_FRAME:
 		job_vm_frame(job, ev->agent_frame.conn, ev->agent_frame.frame);
 		break;
--- a/jobs/jobs.h
+++ b/jobs/jobs.h
@@ -4,6 +4,7 @@
 #include <glib.h>
 
 #include "../config/config.h"
+#include "../evac/evac.h"
 #include "../kv/kv.h"
 #include "../wire/wire.h"
 
@@ -93,6 +94,8 @@
 	gboolean ignore_interference;
 	/** Benchmark baseline: VMs where jobs fail are not quarantined. */
 	gboolean no_quarantine;
+	/** No job is placed before the first JOB_EV_EVACUATIONS. */
+	gboolean wait_for_evacuations;
 };
 
 enum job_event_kind {
@@ -106,6 +109,11 @@
 	 * this kind.
 	 */
 	JOB_EV_TABLES,
+	/**
+	 * The evacuated zones, in which no attempt is placed; they stay valid
+	 * until the next event of this kind.
+	 */
+	JOB_EV_EVACUATIONS,
 	/**
 	 * A Hello, Report, TaskList, TaskEvent or GrantRequest of an agent.
 	 * Connection numbers are above 0, are never used again, and grow in
@@ -177,6 +185,9 @@
 		struct {
 			const struct cfg_tables *tables;
 		} tables;
+		struct {
+			const struct evac *evacuations;
+		} evacuations;
 		struct {
 			guint64 conn;
 			const struct Rp__Frame *frame;
--- a/jobs/place.c
+++ b/jobs/place.c
@@ -154,7 +154,7 @@
 static gboolean usable(const struct job *job, const struct job_item *item,
 		       const struct vm *vm)
 {
-	return vm->conn && !vm->draining &&
+	return vm->conn && !vm->draining && !job_vm_evacuated(job, vm) &&
 	       vm->session > vm->known_fence->highest_session &&
 	       job->now >= vm->quarantine_until &&
 	       job->now >= vm->refused_until &&
@@ -512,14 +512,42 @@
 	       item->unplaced_since < other->unplaced_since;
 }
 
+/* TRUE if each VM of the pool on which the job fits is evacuated. */
+static gboolean only_evacuated_fit(const struct job *job,
+				   const struct job_item *item)
+{
+	const GPtrArray *vms = item->pool->vms;
+	guint i;
+
+	for (i = 0; i < vms->len; i++) {
+		const struct vm *vm = g_ptr_array_index(vms, i);
+
+		if (!job_vm_evacuated(job, vm) &&
+		    job_resources_fit(item->need, vm->capacity))
+			return FALSE;
+	}
+	return vms->len > 0;
+}
+
+static const char *wait_reason(const struct job *job,
+			       const struct job_item *item)
+{
+	if (job->evacuations_unread)
+		return "waits: the evacuated zones were not read yet";
+	if (job->evacuations && job->evacuations->zones->len &&
+	    only_evacuated_fit(job, item))
+		return "waits: the VMs it fits on are in evacuated zones";
+	/* Also if VMs with free capacity may not be used; see usable(). */
+	return "waits for a VM with enough free capacity";
+}
+
 /* No VM was found: evicts attempts or reserves a VM if the job waited long. */
 static void preempt_or_reserve(struct job *job, struct job_item *item)
 {
 	struct vm *best = NULL;
 	unsigned i;
 
-	/* Also if VMs with free capacity may not be used; see usable(). */
-	item->why = "waits for a VM with enough free capacity";
+	item->why = wait_reason(job, item);
 	if (!item->unplaced_since)
 		item->unplaced_since = job->now;
 	if (item->reserved) {
--- a/jobs/sim_entry_test.h
+++ b/jobs/sim_entry_test.h
@@ -290,6 +290,7 @@
 
 /* Retention time of entries that start; 0: the default. */
 static gint64 sim_retention_ms;
+static gboolean sim_wait_for_evacuations;
 
 SIM_FN void sim_start_entry(struct sim *sim, unsigned e)
 {
@@ -299,6 +300,7 @@
 		.entry_id = entry->id,
 		.seed = 7 + e,
 		.retention_ms = sim_retention_ms,
+		.wait_for_evacuations = sim_wait_for_evacuations,
 		.instance = instance,
 		.boot_id = "boot",
 		.agent_address = entry->id,
--- a/jobs/status.c
+++ b/jobs/status.c
@@ -16,6 +16,10 @@
 		return "not connected";
 	if (vm->draining)
 		return "its agent is draining";
+	if (job_vm_evacuated(job, vm))
+		return job->evacuations_unread
+			       ? "the evacuated zones were not read yet"
+			       : "its zone is evacuated";
 	if (vm->session <= vm->known_fence->highest_session)
 		return "fenced, or without a first grant";
 	if (job->now < vm->quarantine_until) {
--- a/jobs/vm.c
+++ b/jobs/vm.c
@@ -136,21 +136,41 @@
 			job_vm_request_list(job, vm, i);
 }
 
-/* Attempts placed on the lost connection but not sent never start. */
-static void requeue_unsent(struct job *job, struct vm *vm)
+/* Attempts placed on the VM but not sent never start. */
+static void requeue_unsent(struct job *job, struct vm *vm, const char *why)
 {
 	GList *items = g_hash_table_get_values(vm->items);
 	GList *link;
 
 	for (link = items; link; link = link->next)
 		if (job_attempt_unsent(link->data))
-			job_item_requeue(
-				job, link->data,
-				"the connection was lost before the start",
-				NULL);
+			job_item_requeue(job, link->data, why, NULL);
 	g_list_free(items);
 }
 
+gboolean job_vm_evacuated(const struct job *job, const struct vm *vm)
+{
+	if (job->evacuations_unread)
+		return TRUE;
+	return job->evacuations && vm->zone &&
+	       evac_find(job->evacuations, vm->zone);
+}
+
+void job_vm_evacuations_changed(struct job *job)
+{
+	GHashTableIter iter;
+	struct vm *vm;
+
+	g_hash_table_iter_init(&iter, job->vms);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&vm)) {
+		if (!job_vm_evacuated(job, vm))
+			continue;
+		if (vm->reserved)
+			job_pool_unreserve(vm->reserved);
+		requeue_unsent(job, vm, "its zone was evacuated");
+	}
+}
+
 static void disconnect(struct job *job, struct vm *vm)
 {
 	if (!vm->conn)
@@ -158,7 +178,7 @@
 	vm->conn = 0;
 	job_vm_watch(job, vm);
 	job_pool_vm_leave(vm);
-	requeue_unsent(job, vm);
+	requeue_unsent(job, vm, "the connection was lost before the start");
 }
 
 /* Evictions requested on an earlier connection may be requested again. */
--- a/radishpier/srv.h
+++ b/radishpier/srv.h
@@ -234,7 +234,8 @@
 
 /*
  * srv_platform.c: client of the key-value store of the settings (kv_endpoints)
- * for this entry's lease and registration, the list of entries and the tables.
+ * for this entry's lease and registration, the list of entries, the tables and
+ * the evacuated zones.
  */
 
 struct srv_store *srv_store_new(struct srv *srv, GError **error);
@@ -246,6 +247,8 @@
 void srv_store_lease_lost(struct srv_store *store, const char *why);
 /** Revokes the lease; sets srv->lease_released when that has ended. */
 void srv_store_release(struct srv_store *store);
+/** TRUE if changes of the evacuations are being watched. */
+gboolean srv_store_evacuations_current(const struct srv_store *store);
 const struct kv_calls *srv_store_calls(const struct srv_store *store);
 
 /*
--- a/radishpier/srv_fixture_test.h
+++ b/radishpier/srv_fixture_test.h
@@ -272,6 +272,8 @@
 	document = cfg_tables_encode(tables);
 	fd = dial_as_peer("e0", in);
 	send_frame(fd, wire_tables_update_new(document));
+	/* No zone is evacuated. */
+	send_frame(fd, wire_evacuation_update_new(NULL, TRUE, 0));
 	do {
 		g_usleep(20000);
 		g_free(answer);
--- a/radishpier/srv_ops.c
+++ b/radishpier/srv_ops.c
@@ -120,6 +120,7 @@
 {
 	const struct kv_calls *calls = srv_store_calls(srv->store);
 	const struct cfg_tables *tables = ent_tables(srv->ent);
+	const struct evac *evac = ent_evacuations(srv->ent);
 	struct obs_metrics *metrics = srv->metrics;
 	unsigned agents, peers;
 	char name[64];
@@ -144,6 +145,12 @@
 	obs_gauge(metrics, "radishpier_lease_held", NULL, srv->lease != 0);
 	obs_gauge(metrics, "radishpier_tables_generation", NULL,
 		  tables ? (double)tables->generation : 0);
+	obs_gauge(metrics, "radishpier_evacuations_generation", NULL,
+		  evac ? (double)evac->generation : 0);
+	obs_gauge(metrics, "radishpier_zones_evacuated", NULL,
+		  evac ? evac->zones->len : 0);
+	obs_gauge(metrics, "radishpier_evacuations_age_ms", NULL,
+		  (double)ent_evacuations_age_ms(srv->ent));
 }
 
 static void on_metrics(struct evhttp_request *req, void *ctx)
@@ -162,6 +169,9 @@
 
 	if (srv->draining)
 		send_text(req, 503, "text/plain", g_string_new("draining\n"));
+	else if (!ent_evacuations(srv->ent))
+		send_text(req, 503, "text/plain",
+			  g_string_new("evacuated zones not read yet\n"));
 	else if (!ent_ready(srv->ent))
 		send_text(req, 503, "text/plain",
 			  g_string_new("no tables or no upstream\n"));
--- a/radishpier/srv_platform.c
+++ b/radishpier/srv_platform.c
@@ -3,6 +3,8 @@
 #include <jansson.h>
 #include <string.h>
 
+#include "../evac/evac.h"
+
 #define LEASE_TTL_MS 10000
 /** Interval of keep-alives; three fit into the TTL. */
 #define LEASE_KEEPALIVE_MS 3000
@@ -22,6 +24,8 @@
 	void (*on_reset)(struct srv_store *store);
 	/** Called after a range or a change was applied; may be NULL. */
 	void (*on_changed)(struct srv_store *store);
+	/** Called when the watch or a range failed; may be NULL. */
+	void (*on_failed)(struct srv_store *store);
 	/** NULL while the keys are not watched. */
 	struct kv_watch *watch;
 	/** A range is in flight. */
@@ -38,6 +42,11 @@
 	struct srv_claims *claims;
 	struct watched entries;
 	struct watched tables;
+	struct watched evacuations;
+	/** The range in progress has the document of the evacuations. */
+	gboolean evacuations_found;
+	/** The evacuations may be out of date, which was logged. */
+	gboolean evacuations_lost;
 	/** Entry id -> agent address, for all registered entries. */
 	GTree *registered;
 	/** A lease grant or keep-alive is in flight. */
@@ -295,6 +304,70 @@
 	srv_dispatch(store->srv, &ev);
 }
 
+static void evacuations_reset(struct srv_store *store)
+{
+	store->evacuations_found = FALSE;
+}
+
+static void evacuations_apply(struct srv_store *store,
+			      const struct kv_pair *pair)
+{
+	struct ent_event ev = { .kind = ENT_EV_EVACUATIONS };
+	gsize len;
+
+	/* The watch also delivers longer keys that begin with EVAC_KEY. */
+	if (strcmp(pair->key, EVAC_KEY))
+		return;
+	store->evacuations_found = TRUE;
+	if (pair->value) {
+		ev.evacuations.data = g_bytes_get_data(pair->value, &len);
+		ev.evacuations.len = len;
+	}
+	srv_dispatch(store->srv, &ev);
+}
+
+/* Reports that there is no document, and that the watch is in order again. */
+static void evacuations_changed(struct srv_store *store)
+{
+	struct ent_event ev = { .kind = ENT_EV_EVACUATIONS };
+	gint64 age_ms = ent_evacuations_age_ms(store->srv->ent);
+
+	if (!store->evacuations_found)
+		srv_dispatch(store->srv, &ev);
+	store->evacuations_found = TRUE;
+	if (store->evacuations_lost)
+		srv_log(G_LOG_LEVEL_MESSAGE,
+			"the evacuated zones were read again, %" G_GINT64_FORMAT
+			" ms after they were last known to be current",
+			age_ms);
+	store->evacuations_lost = FALSE;
+}
+
+static void evacuations_failed(struct srv_store *store)
+{
+	const struct evac *evac = ent_evacuations(store->srv->ent);
+
+	if (store->evacuations_lost)
+		return;
+	store->evacuations_lost = TRUE;
+	if (evac)
+		srv_log(G_LOG_LEVEL_WARNING,
+			"evacuations of generation %" G_GUINT64_FORMAT
+			" remain in force; they were last known to be current "
+			"%" G_GINT64_FORMAT " ms ago",
+			evac->generation,
+			ent_evacuations_age_ms(store->srv->ent));
+	else
+		srv_log(G_LOG_LEVEL_WARNING,
+			"the evacuated zones are not known yet, so requests "
+			"are refused");
+}
+
+gboolean srv_store_evacuations_current(const struct srv_store *store)
+{
+	return store->evacuations.watch && !store->reread_due;
+}
+
 static void watched_failed(struct watched *watched, const GError *error)
 {
 	struct srv *srv = watched->store->srv;
@@ -303,6 +376,8 @@
 	watched->retry_ms = net_now_ms() + srv_backoff_ms(srv,
 							  watched->failures++,
 							  BACKOFF_MAX_MS);
+	if (watched->on_failed)
+		watched->on_failed(watched->store);
 }
 
 static void on_watch_change(void *ctx, const struct kv_pair *pair,
@@ -382,9 +457,11 @@
 	if (store->reread_due) {
 		store->reread_due = FALSE;
 		watched_reread(&store->tables);
+		watched_reread(&store->evacuations);
 		watched_reread(&store->entries);
 	}
 	watched_tick(&store->tables, now_ms);
+	watched_tick(&store->evacuations, now_ms);
 	watched_tick(&store->entries, now_ms);
 	srv_claims_tick(store->claims, now_ms);
 	if (store->releasing)
@@ -468,6 +545,14 @@
 					  .prefix = TABLES_KEY,
 					  .exact = TRUE,
 					  .on_pair = tables_apply };
+	store->evacuations =
+		(struct watched){ .store = store,
+				  .prefix = EVAC_KEY,
+				  .exact = TRUE,
+				  .on_pair = evacuations_apply,
+				  .on_reset = evacuations_reset,
+				  .on_changed = evacuations_changed,
+				  .on_failed = evacuations_failed };
 	return store;
 }
 
--- a/radishpier/srv_run.c
+++ b/radishpier/srv_run.c
@@ -271,6 +271,10 @@
 
 	(void)fd;
 	(void)what;
+	/* After a pause, the watch may be out of date. */
+	tick.tick.evacuations_current =
+		srv_store_evacuations_current(srv->store) &&
+		net_now_ms() - srv->last_tick_ms <= SRV_STALL_MS;
 	srv_dispatch(srv, &tick);
 	now_ms = net_now_ms();
 	srv->last_tick_ms = now_ms;
@@ -339,8 +343,8 @@
 {
 	struct ent_options options = { .id = settings->id,
 				       .zone = settings->zone,
-				       .agent_address =
-					       settings->agent_address };
+				       .agent_address = settings->agent_address,
+				       .wait_for_evacuations = TRUE };
 	g_autofree char *boot_id = read_boot_id();
 	g_autofree char *instance = g_uuid_string_random();
 	guint32 seed;
--- a/wire/rp.pb-c.c
+++ b/wire/rp.pb-c.c
@@ -2437,6 +2437,51 @@
   assert(message->base.descriptor == &rp__step_progress__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   rp__evacuation_update__init
+                     (Rp__EvacuationUpdate         *message)
+{
+  static const Rp__EvacuationUpdate init_value = RP__EVACUATION_UPDATE__INIT;
+  *message = init_value;
+}
+size_t rp__evacuation_update__get_packed_size
+                     (const Rp__EvacuationUpdate *message)
+{
+  assert(message->base.descriptor == &rp__evacuation_update__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rp__evacuation_update__pack
+                     (const Rp__EvacuationUpdate *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rp__evacuation_update__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rp__evacuation_update__pack_to_buffer
+                     (const Rp__EvacuationUpdate *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rp__evacuation_update__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rp__EvacuationUpdate *
+       rp__evacuation_update__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rp__EvacuationUpdate *)
+     protobuf_c_message_unpack (&rp__evacuation_update__descriptor,
+                                allocator, len, data);
+}
+void   rp__evacuation_update__free_unpacked
+                     (Rp__EvacuationUpdate *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp__evacuation_update__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   rp__frame__init
                      (Rp__Frame         *message)
 {
@@ -7336,7 +7381,71 @@
   (ProtobufCMessageInit) rp__step_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp__frame__field_descriptors[31] =
+static const ProtobufCFieldDescriptor rp__evacuation_update__field_descriptors[3] =
+{
+  {
+    "document",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Rp__EvacuationUpdate, document),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "read",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Rp__EvacuationUpdate, read),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Rp__EvacuationUpdate, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rp__evacuation_update__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  0,   /* field[0] = document */
+  1,   /* field[1] = read */
+};
+static const ProtobufCIntRange rp__evacuation_update__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor rp__evacuation_update__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rp.EvacuationUpdate",
+  "EvacuationUpdate",
+  "Rp__EvacuationUpdate",
+  "rp",
+  sizeof(Rp__EvacuationUpdate),
+  3,
+  rp__evacuation_update__field_descriptors,
+  rp__evacuation_update__field_indices_by_name,
+  1,  rp__evacuation_update__number_ranges,
+  (ProtobufCMessageInit) rp__evacuation_update__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp__frame__field_descriptors[32] =
 {
   {
     "hello",
@@ -7710,9 +7819,22 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evacuation_update",
+    32,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rp__Frame, body_case),
+    offsetof(Rp__Frame, evacuation_update),
+    &rp__evacuation_update__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rp__frame__field_indices_by_name[] = {
   5,   /* field[5] = cancel */
+  31,   /* field[31] = evacuation_update */
   3,   /* field[3] = fleet_info */
   15,   /* field[15] = grant */
   14,   /* field[14] = grant_request */
@@ -7747,7 +7869,7 @@
 static const ProtobufCIntRange rp__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 31 }
+  { 0, 32 }
 };
 const ProtobufCMessageDescriptor rp__frame__descriptor =
 {
@@ -7757,7 +7879,7 @@
   "Rp__Frame",
   "rp",
   sizeof(Rp__Frame),
-  31,
+  32,
   rp__frame__field_descriptors,
   rp__frame__field_indices_by_name,
   1,  rp__frame__number_ranges,
@@ -8066,7 +8188,7 @@
   rp__outcome__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCEnumValue rp__reason__enum_values_by_number[17] =
+static const ProtobufCEnumValue rp__reason__enum_values_by_number[18] =
 {
   { "REASON_NONE", "RP__REASON__REASON_NONE", 0 },
   { "REASON_NO_SLOT", "RP__REASON__REASON_NO_SLOT", 1 },
@@ -8085,15 +8207,17 @@
   { "REASON_OVERLOADED", "RP__REASON__REASON_OVERLOADED", 14 },
   { "REASON_STALE_SESSION", "RP__REASON__REASON_STALE_SESSION", 15 },
   { "REASON_INTERFERENCE", "RP__REASON__REASON_INTERFERENCE", 16 },
+  { "REASON_EVACUATED", "RP__REASON__REASON_EVACUATED", 17 },
 };
 static const ProtobufCIntRange rp__reason__value_ranges[] = {
-{0, 0},{0, 17}
+{0, 0},{0, 18}
 };
-static const ProtobufCEnumValueIndex rp__reason__enum_values_by_name[17] =
+static const ProtobufCEnumValueIndex rp__reason__enum_values_by_name[18] =
 {
   { "REASON_CANCELLED", 8 },
   { "REASON_DEADLINE", 7 },
   { "REASON_DRAINING", 3 },
+  { "REASON_EVACUATED", 17 },
   { "REASON_INTERFERENCE", 16 },
   { "REASON_NONE", 0 },
   { "REASON_NO_CAPACITY", 2 },
@@ -8116,9 +8240,9 @@
   "Reason",
   "Rp__Reason",
   "rp",
-  17,
+  18,
   rp__reason__enum_values_by_number,
-  17,
+  18,
   rp__reason__enum_values_by_name,
   1,
   rp__reason__value_ranges,
--- a/wire/rp.pb-c.h
+++ b/wire/rp.pb-c.h
@@ -69,6 +69,7 @@
 typedef struct Rp__RunPlace Rp__RunPlace;
 typedef struct Rp__TaskProgress Rp__TaskProgress;
 typedef struct Rp__StepProgress Rp__StepProgress;
+typedef struct Rp__EvacuationUpdate Rp__EvacuationUpdate;
 typedef struct Rp__Frame Rp__Frame;
 typedef struct Rp__JobRecord Rp__JobRecord;
 
@@ -119,7 +120,11 @@
   /*
    * Evicted because it slowed a service of its VM. 
    */
-  RP__REASON__REASON_INTERFERENCE = 16
+  RP__REASON__REASON_INTERFERENCE = 16,
+  /*
+   * The VM's availability zone is evacuated. 
+   */
+  RP__REASON__REASON_EVACUATED = 17
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(RP__REASON)
 } Rp__Reason;
 typedef enum _Rp__TaskState {
@@ -1550,6 +1555,33 @@
     , RP__JOB_STATE__JOB_STATE_NONE, 0, 0,NULL, (char *)protobuf_c_empty_string }
 
 
+/*
+ * Between entries, and between entry and agent in both directions: the
+ *availability zones that operators took out of service. The higher generation
+ *wins. 
+ */
+struct  Rp__EvacuationUpdate
+{
+  ProtobufCMessage base;
+  /*
+   * The document as JSON; empty if the key was absent. 
+   */
+  ProtobufCBinaryData document;
+  /*
+   * From an entry: the document was read from the key-value store, by it or by
+   *the entry that sent it the document. 
+   */
+  protobuf_c_boolean read;
+  /*
+   * Time since that was last known to be current. 
+   */
+  int64_t age_ms;
+};
+#define RP__EVACUATION_UPDATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rp__evacuation_update__descriptor) \
+    , {0,NULL}, 0, 0 }
+
+
 typedef enum {
   RP__FRAME__BODY__NOT_SET = 0,
   RP__FRAME__BODY_HELLO = 1,
@@ -1582,7 +1614,8 @@
   RP__FRAME__BODY_VM_ORDERS = 28,
   RP__FRAME__BODY_VM_REPORT = 29,
   RP__FRAME__BODY_STEP_CALL = 30,
-  RP__FRAME__BODY_STEP_REPLY = 31
+  RP__FRAME__BODY_STEP_REPLY = 31,
+  RP__FRAME__BODY_EVACUATION_UPDATE = 32
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(RP__FRAME__BODY__CASE)
 } Rp__Frame__BodyCase;
 
@@ -1622,6 +1655,7 @@
     Rp__VmReport *vm_report;
     Rp__StepCall *step_call;
     Rp__StepReply *step_reply;
+    Rp__EvacuationUpdate *evacuation_update;
   };
 };
 #define RP__FRAME__INIT \
@@ -2709,6 +2743,25 @@
 void   rp__step_progress__free_unpacked
                      (Rp__StepProgress *message,
                       ProtobufCAllocator *allocator);
+/* Rp__EvacuationUpdate methods */
+void   rp__evacuation_update__init
+                     (Rp__EvacuationUpdate         *message);
+size_t rp__evacuation_update__get_packed_size
+                     (const Rp__EvacuationUpdate   *message);
+size_t rp__evacuation_update__pack
+                     (const Rp__EvacuationUpdate   *message,
+                      uint8_t             *out);
+size_t rp__evacuation_update__pack_to_buffer
+                     (const Rp__EvacuationUpdate   *message,
+                      ProtobufCBuffer     *buffer);
+Rp__EvacuationUpdate *
+       rp__evacuation_update__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rp__evacuation_update__free_unpacked
+                     (Rp__EvacuationUpdate *message,
+                      ProtobufCAllocator *allocator);
 /* Rp__Frame methods */
 void   rp__frame__init
                      (Rp__Frame         *message);
@@ -2911,6 +2964,9 @@
 typedef void (*Rp__StepProgress_Closure)
                  (const Rp__StepProgress *message,
                   void *closure_data);
+typedef void (*Rp__EvacuationUpdate_Closure)
+                 (const Rp__EvacuationUpdate *message,
+                  void *closure_data);
 typedef void (*Rp__Frame_Closure)
                  (const Rp__Frame *message,
                   void *closure_data);
@@ -2986,6 +3042,7 @@
 extern const ProtobufCMessageDescriptor rp__run_place__descriptor;
 extern const ProtobufCMessageDescriptor rp__task_progress__descriptor;
 extern const ProtobufCMessageDescriptor rp__step_progress__descriptor;
+extern const ProtobufCMessageDescriptor rp__evacuation_update__descriptor;
 extern const ProtobufCMessageDescriptor rp__frame__descriptor;
 extern const ProtobufCMessageDescriptor rp__job_record__descriptor;
 
--- a/wire/wire.c
+++ b/wire/wire.c
@@ -115,6 +115,23 @@
 	return wire_message_dup(&frame->base);
 }
 
+struct Rp__Frame *wire_evacuation_update_new(GBytes *document, gboolean read,
+					     gint64 age_ms)
+{
+	struct Rp__Frame *frame =
+		wire_frame_new(RP__FRAME__BODY_EVACUATION_UPDATE);
+	gsize len;
+	const void *data;
+
+	if (document) {
+		data = g_bytes_get_data(document, &len);
+		wire_set_bytes(&frame->evacuation_update->document, data, len);
+	}
+	frame->evacuation_update->read = read;
+	frame->evacuation_update->age_ms = MAX(age_ms, 0);
+	return frame;
+}
+
 struct Rp__RunName *wire_run_name_new(const char *task, guint32 attempt)
 {
 	struct Rp__RunName *name = g_malloc(sizeof(*name));
@@ -199,6 +216,7 @@
 		[RP__REASON__REASON_OVERLOADED] = "overloaded",
 		[RP__REASON__REASON_STALE_SESSION] = "stale-session",
 		[RP__REASON__REASON_INTERFERENCE] = "interference",
+		[RP__REASON__REASON_EVACUATED] = "evacuated",
 	};
 
 	if ((unsigned)reason >= G_N_ELEMENTS(names))
--- a/wire/wire.h
+++ b/wire/wire.h
@@ -118,6 +118,13 @@
 /** Returns a TablesUpdate frame, freed with wire_frame_free(). */
 struct Rp__Frame *wire_tables_update_new(GBytes *document);
 
+/**
+ * Returns an EvacuationUpdate frame, freed with wire_frame_free(). document is
+ * NULL if the store has none; read and age_ms are as in the message.
+ */
+struct Rp__Frame *wire_evacuation_update_new(GBytes *document, gboolean read,
+					     gint64 age_ms);
+
 /** Name of the frame's body, for logs and counters. */
 const char *wire_frame_name(const struct Rp__Frame *frame);
 
