radishpier: show evacuated zones in status

Cause: operators need to see which zones each entry takes for evacuated, how old that knowledge is, and when a zone is empty. Change: status prints for each entry and evacuated zone the generation, the age, the VMs, the requests and tasks that still run there, and who evacuated it and why; also an entry that does not know the zones.

--- a/radishpier/cli_status.c
+++ b/radishpier/cli_status.c
@@ -245,6 +245,113 @@
 	table_end(&table, "MEMBERS");
 }
 
+static json_int_t number(const json_t *object, const char *key)
+{
+	return json_integer_value(json_object_get(object, key));
+}
+
+/* Returns the tasks of the entry's jobs on a VM that gets no new ones. */
+static json_int_t tasks_on(const struct cli_source *source, const char *vm)
+{
+	const json_t *list = json_object_get(source->status,
+					     "vms_without_new_tasks");
+	size_t i;
+
+	for (i = 0; i < json_array_size(list); i++) {
+		const json_t *item = json_array_get(list, i);
+
+		if (!strcmp(cli_string_or_dash(item, "vm"), vm))
+			return number(item, "tasks");
+	}
+	return 0;
+}
+
+/* Adds what the entry knows to run in the zone to the row. */
+static void add_running(const struct cli_source *source, const char *zone,
+			json_t *row)
+{
+	const json_t *list = json_object_get(
+		json_object_get(source->status, "entry"), "upstreams");
+	json_int_t vms = 0;
+	json_int_t requests = 0;
+	json_int_t tasks = 0;
+	size_t i;
+
+	for (i = 0; i < json_array_size(list); i++) {
+		const json_t *item = json_array_get(list, i);
+
+		if (strcmp(cli_string_or_dash(item, "zone"), zone) != 0)
+			continue;
+		vms++;
+		requests += number(item, "in_flight") + number(item, "others");
+		tasks += tasks_on(source, cli_string_or_dash(item, "vm"));
+	}
+	json_object_set_new(row, "vms", json_integer(vms));
+	json_object_set_new(row, "requests", json_integer(requests));
+	json_object_set_new(row, "tasks", json_integer(tasks));
+}
+
+static void add_evacuated_zone(struct table *table,
+			       const struct cli_source *source,
+			       const json_t *evacuations, const json_t *zone)
+{
+	json_t *row = json_deep_copy(zone);
+	g_autofree char *since = cli_time_text(number(zone, "since_unix_ms"));
+
+	json_object_set_new(row, "since", json_string(since));
+	json_object_set_new(row, "generation",
+			    json_integer(number(evacuations, "generation")));
+	json_object_set_new(row, "age_ms",
+			    json_integer(number(evacuations, "age_ms")));
+	add_running(source, cli_string_or_dash(zone, "zone"), row);
+	table_add(table, row, cli_string_or_dash(source->entry, "id"));
+	json_decref(row);
+}
+
+/*
+ * Prints the evacuated zones as each entry knows them, and what runs there:
+ * requests of all entries, and tasks of the entry's own jobs. An entry that
+ * does not know them, or for which all evacuations have ended, has one row
+ * without a zone.
+ */
+static void print_evacuations(const GPtrArray *sources)
+{
+	static const char *const keys[] = { "entry",  "generation", "age_ms",
+					    "zone",   "vms",	    "requests",
+					    "tasks",  "author",	    "since",
+					    "reason", NULL };
+	struct table table = table_new(keys);
+	guint i;
+	size_t j;
+
+	for (i = 0; i < sources->len; i++) {
+		const struct cli_source *source = sources->pdata[i];
+		const json_t *evacuations = json_object_get(
+			json_object_get(source->status, "entry"),
+			"evacuations");
+		const json_t *zones = json_object_get(evacuations, "zones");
+		gboolean unread =
+			json_is_false(json_object_get(evacuations, "read"));
+
+		for (j = 0; j < json_array_size(zones); j++)
+			add_evacuated_zone(&table, source, evacuations,
+					   json_array_get(zones, j));
+		if (!j && (unread || number(evacuations, "generation"))) {
+			json_t *row = json_pack(
+				"{s:I, s:I, s:s}", "generation",
+				number(evacuations, "generation"), "age_ms",
+				number(evacuations, "age_ms"), "reason",
+				unread ? "the evacuated zones were not read yet"
+				       : "no zone is evacuated");
+
+			table_add(&table, row,
+				  cli_string_or_dash(source->entry, "id"));
+			json_decref(row);
+		}
+	}
+	table_end(&table, "EVACUATED ZONES");
+}
+
 static void print_text(const GPtrArray *sources)
 {
 	static const char *const pools[] = {
@@ -264,6 +371,7 @@
 
 	print_entries(sources);
 	print_members(sources);
+	print_evacuations(sources);
 	print_lists(sources, "pools", pools, "POOLS");
 	print_lists(sources, "upstreams", upstreams, "UPSTREAMS");
 	print_refused(sources);
--- a/radishpier/cli_test.c
+++ b/radishpier/cli_test.c
@@ -527,6 +527,53 @@
 }
 END_TEST
 
+static void serve_evacuations(struct evhttp_request *req,
+			      void *arg G_GNUC_UNUSED)
+{
+	evbuffer_add_printf(
+		evhttp_request_get_output_buffer(req), "%s",
+		"{\"id\":\"e1\",\"entry\":{\"evacuations\":{\"generation\":3,"
+		"\"read\":true,\"age_ms\":250,\"zones\":[{\"zone\":\"zone-a\","
+		"\"author\":\"ana\",\"reason\":\"works\","
+		"\"since_unix_ms\":1000}]},\"upstreams\":["
+		"{\"vm\":\"v1\",\"zone\":\"zone-a\",\"in_flight\":2,"
+		"\"others\":3},{\"vm\":\"v2\",\"zone\":\"zone-b\","
+		"\"in_flight\":4,\"others\":0},{\"vm\":\"v3\","
+		"\"zone\":\"zone-a\",\"in_flight\":0,\"others\":0}]},"
+		"\"vms_without_new_tasks\":[{\"vm\":\"v1\",\"tasks\":6},"
+		"{\"vm\":\"v2\",\"tasks\":7}]}");
+	evhttp_send_reply(req, 200, NULL, NULL);
+}
+
+static void serve_unread(struct evhttp_request *req, void *arg G_GNUC_UNUSED)
+{
+	evbuffer_add_printf(evhttp_request_get_output_buffer(req), "%s",
+			    "{\"id\":\"e2\",\"entry\":{\"evacuations\":{"
+			    "\"generation\":0,\"read\":false,\"age_ms\":-1,"
+			    "\"zones\":[]}}}");
+	evhttp_send_reply(req, 200, NULL, NULL);
+}
+
+/*
+ * Guards against a status that does not show an evacuated zone, what still runs
+ * there, or an entry that does not know the zones.
+ */
+START_TEST(test_evacuation_status)
+{
+	serve("e1", serve_evacuations);
+	serve("e2", serve_unread);
+	expect_run(ask("status", NULL), EXIT_CODE_OK,
+		   "e1     3           250     zone-a  2    5         6      "
+		   "ana     1970-01-01T00:00:01Z  works\n",
+		   "");
+	expect_run(ask("status", NULL), EXIT_CODE_OK,
+		   "e2     0           -1      -       -    -         -      "
+		   "-       -                     the evacuated zones were not "
+		   "read yet\n",
+		   "");
+}
+END_TEST
+
 static const struct {
 	/* Appended to "radishpier evacuate". */
 	const char *arguments;
@@ -643,6 +690,7 @@
 	tcase_add_test(tcase, test_evacuate_race);
 	tcase_add_test(tcase, test_evacuate_lost_answer);
 	tcase_add_test(tcase, test_evacuate_unknown_zone);
+	tcase_add_test(tcase, test_evacuation_status);
 	tcase_add_loop_test(tcase, test_bad_evacuations, 0,
 			    G_N_ELEMENTS(bad_evacuations));
 	tcase_add_loop_test(tcase, test_usage, 0, G_N_ELEMENTS(usages));
