tests: submit more jobs than the zones in service have room for

Cause: in a trial with the checks of the job scheduler and of the agent removed, test_evacuate_under_load passed: the short jobs found room in the other zones. Change: they are submitted two at a time, so that some would be placed in the evacuated zone.

--- a/tests/evacuation_failure_test.c
+++ b/tests/evacuation_failure_test.c
@@ -17,7 +17,14 @@
 /* How long a zone is watched to be sure that nothing starts there. */
 #define WATCH_MS 3000
 
-#define LONG_JOBS 6
+#define LONG_JOBS 3
+
+/*
+ * Short jobs that are submitted every 50 ms: more than the zones in service
+ * have room for, so that a job would be placed in the evacuated one if it could
+ * be.
+ */
+#define BURST 2
 
 /* Runs evacuate; reason NULL ends the evacuation. Returns the exit code. */
 static int evacuate(struct site *site, const char *zone, const char *reason)
@@ -118,6 +125,7 @@
 	gint64 end;
 	gint64 last;
 	GHashTableIter iter;
+	unsigned i;
 	void *id;
 
 	g_usleep(SETTLE_MS * 1000);
@@ -125,7 +133,8 @@
 	add_tasks(site, vm, before);
 	last = site_last_request_ms(site, vm);
 	while (clock_now_ms() < end) {
-		g_ptr_array_add(jobs, submit(site, jobs->len, 200));
+		for (i = 0; i < BURST; i++)
+			g_ptr_array_add(jobs, submit(site, jobs->len, 300));
 		add_tasks(site, vm, after);
 		g_usleep(50000);
 	}
