radishpier: report a lost key of the evacuations as such

Cause: if the store lost the key but not its history, evacuate reported the author of the old generation 1 as the winner of a race. Change: it says that the history has an entry which the key lacks.

--- a/radishpier/cli_evacuate.c
+++ b/radishpier/cli_evacuate.c
@@ -115,6 +115,16 @@
 	return json_integer_value(json_object_get(entry, "applied_unix_ms"));
 }
 
+/* TRUE if the document's key still has the revision that was read. */
+static gboolean is_unchanged(struct cli_kv *cli, const struct change *change)
+{
+	g_autoptr(GPtrArray) pairs = cli_kv_range(cli, EVAC_KEY, TRUE, NULL);
+
+	return pairs &&
+	       (pairs->len ? ((struct kv_pair *)pairs->pdata[0])->mod_revision
+			   : 0) == change->mod_revision;
+}
+
 /* Reports who changed the document since it was read. */
 static enum exit_code report_conflict(struct cli_kv *cli,
 				      const struct change *change)
@@ -124,6 +134,16 @@
 	g_autofree char *time = winner ? cli_time_text(entry_time(winner))
 				       : NULL;
 
+	if (winner && is_unchanged(cli, change)) {
+		fprintf(stderr,
+			"radishpier: the history has an entry of generation "
+			"%" G_GUINT64_FORMAT
+			" already, although the key " EVAC_KEY
+			" does not; nothing was changed\n",
+			change->next->generation);
+		json_decref(winner);
+		return EXIT_CODE_FAILED;
+	}
 	if (!winner)
 		return fail(EXIT_CODE_FAILED,
 			    "the evacuations were changed meanwhile",
--- a/radishpier/cli_test.c
+++ b/radishpier/cli_test.c
@@ -527,6 +527,22 @@
 }
 END_TEST
 
+/*
+ * Guards against a document of generation 1 that is written after the store
+ * lost the key: running entries hold a higher generation and would refuse it.
+ */
+START_TEST(test_evacuate_lost_key)
+{
+	g_autoptr(GBytes) entry = g_bytes_new_static("{}", 2);
+
+	put("radishpier/evacuation-history/00000000000000000001", entry);
+	expect_run(evacuate("zone-a", "ana", "test"), EXIT_CODE_FAILED, "",
+		   "the history has an entry of generation 1 already, although "
+		   "the key radishpier/evacuations does not; nothing was "
+		   "changed");
+}
+END_TEST
+
 static void serve_evacuations(struct evhttp_request *req,
 			      void *arg G_GNUC_UNUSED)
 {
@@ -690,6 +706,7 @@
 	tcase_add_test(tcase, test_evacuate_race);
 	tcase_add_test(tcase, test_evacuate_lost_answer);
 	tcase_add_test(tcase, test_evacuate_unknown_zone);
+	tcase_add_test(tcase, test_evacuate_lost_key);
 	tcase_add_test(tcase, test_evacuation_status);
 	tcase_add_loop_test(tcase, test_bad_evacuations, 0,
 			    G_N_ELEMENTS(bad_evacuations));
