--- a/entry/status.c
+++ b/entry/status.c
@@ -90,8 +90,8 @@
 		"\"latency_target_ms\":%u,"
 		"\"fleet_slots\":%" G_GUINT64_FORMAT
 		",\"upstreams\":%u,\"available\":%u,\"draining\":%u,"
-		"\"ejected\":%u,\"answered\":%" G_GUINT64_FORMAT
-		",\"retried\":%" G_GUINT64_FORMAT
+		"\"evacuated\":%u,\"ejected\":%u,\"answered\":"
+		"%" G_GUINT64_FORMAT ",\"retried\":%" G_GUINT64_FORMAT
 		",\"hedges_sent\":%" G_GUINT64_FORMAT
 		",\"hedges_won\":%" G_GUINT64_FORMAT
 		",\"hedges_refused\":%" G_GUINT64_FORMAT ",\"waits_because\":",
@@ -99,9 +99,9 @@
 		ent_heap_size(&pool->queue), pool->queue_length,
 		(int)pool->latency_ms, (int)ent_pool_needed_ms(ent, pool),
 		pool->target_ms, pool->fleet_slots, pool->members->len,
-		pool->n_available, pool->n_draining, pool->n_ejected,
-		pool->answered, pool->retried, pool->hedges_sent,
-		pool->hedges_won, pool->hedges_refused);
+		pool->n_available, pool->n_draining, pool->n_evacuated,
+		pool->n_ejected, pool->answered, pool->retried,
+		pool->hedges_sent, pool->hedges_won, pool->hedges_refused);
 	if (reason)
 		obs_json_string(out, reason, -1);
 	else
