--- a/net/account.c
+++ b/net/account.c
@@ -4,6 +4,7 @@
 struct net_address {
 	char *name;
 	guint holders;
+	guint condemned;
 	guint64 bytes;
 };
 
@@ -13,6 +14,7 @@
 	GHashTable *addresses;
 	/** Of struct net_holder. */
 	GQueue holders;
+	guint condemned;
 	guint64 bytes;
 };
 
@@ -82,6 +84,7 @@
 	holder->bytes = 0;
 	holder->since_ms = now_ms;
 	holder->closable = TRUE;
+	holder->condemned = FALSE;
 	add_bytes(holder, NET_HOLDER_BYTES);
 }
 
@@ -90,6 +93,8 @@
 	struct net_account *account = holder->account;
 
 	subtract_bytes(holder, holder->bytes);
+	account->condemned -= holder->condemned;
+	holder->address->condemned -= holder->condemned;
 	g_queue_unlink(&account->holders, &holder->link);
 	if (!--holder->address->holders)
 		g_hash_table_remove(account->addresses, holder->address->name);
@@ -115,6 +120,25 @@
 	holder->closable = closable;
 }
 
+/* Which limit of holders leaves no room for new ones. */
+static enum net_excess crowding(const struct net_holder *holder)
+{
+	const struct net_account *account = holder->account;
+	const struct net_account_options *options = &account->options;
+	const struct net_address *address = holder->address;
+	guint64 share = (guint64)options->max_holders *
+			options->address_percent / 100;
+	guint64 of_address = address->holders - address->condemned;
+	guint64 all = account->holders.length - account->condemned;
+
+	if (holder->condemned)
+		return NET_EXCESS_NONE;
+	if (of_address * 8 > share * 7)
+		return NET_EXCESS_ADDRESS_HOLDERS;
+	return all * 8 > (guint64)options->max_holders * 7 ? NET_EXCESS_HOLDERS
+							   : NET_EXCESS_NONE;
+}
+
 enum net_excess net_account_excess(const struct net_holder *holder)
 {
 	const struct net_account *account = holder->account;
@@ -133,6 +157,11 @@
 	return NET_EXCESS_NONE;
 }
 
+gboolean net_account_needs_enforcement(const struct net_holder *holder)
+{
+	return net_account_excess(holder) || crowding(holder);
+}
+
 static gboolean is_of_bytes(enum net_excess excess)
 {
 	return excess == NET_EXCESS_BYTES || excess == NET_EXCESS_ADDRESS_BYTES;
@@ -174,12 +203,51 @@
 	return victim;
 }
 
+gboolean net_account_is_condemned(const struct net_holder *holder)
+{
+	return holder->condemned;
+}
+
+/* Closes or condemns the holder that makes room; returns FALSE if there is
+ * room. */
+static gboolean make_room(struct net_account *account, guint *closed)
+{
+	enum net_excess excess = NET_EXCESS_NONE;
+	struct net_holder *victim = NULL;
+	GList *link;
+
+	/* Those of an address with too many connections go first. */
+	for (link = account->holders.head; link; link = link->next) {
+		struct net_holder *holder = link->data;
+		enum net_excess crowded = crowding(holder);
+
+		if (crowded > excess || (victim && crowded == excess &&
+					 holder->since_ms < victim->since_ms)) {
+			victim = holder;
+			excess = crowded;
+		}
+	}
+	if (!victim)
+		return FALSE;
+	if (victim->closable) {
+		victim->close(victim, excess);
+		++*closed;
+	} else {
+		victim->condemned = TRUE;
+		account->condemned++;
+		victim->address->condemned++;
+	}
+	return TRUE;
+}
+
 guint net_account_enforce(struct net_account *account)
 {
 	struct net_holder *victim;
 	enum net_excess excess;
 	guint n = 0;
 
+	while (make_room(account, &n))
+		;
 	while ((victim = net_account_victim(account, &excess))) {
 		victim->close(victim, excess);
 		n++;
--- a/net/account.h
+++ b/net/account.h
@@ -43,6 +43,7 @@
 	gsize bytes;
 	gint64 since_ms;
 	gboolean closable;
+	gboolean condemned;
 };
 
 struct net_account_options {
@@ -70,13 +71,17 @@
 /** Notes that a response was taken: the holder is not idle. */
 void net_account_served(struct net_holder *holder, gint64 now_ms);
 
-/** Whether the holder may be closed: nothing of it was passed on without a
- * response. */
+/** Whether the holder may be closed at once: nothing of it was passed on
+ * without a response. */
 void net_account_set_closable(struct net_holder *holder, gboolean closable);
 
 /** Which limit the holder's address or the account exceeds. */
 enum net_excess net_account_excess(const struct net_holder *holder);
 
+/** TRUE if net_account_enforce() has something to do for the holder's address
+ * or the account. */
+gboolean net_account_needs_enforcement(const struct net_holder *holder);
+
 /**
  * Returns the holder to be closed next, with the limit that is exceeded, or
  * NULL if none is exceeded or no holder may be closed. Above a limit of bytes
@@ -86,8 +91,16 @@
 struct net_holder *net_account_victim(struct net_account *account,
 				      enum net_excess *excess);
 
-/** Closes holders until no limit is exceeded or none may be closed; returns
- * their number. */
+/** TRUE if the holder, which was not closable, is to be closed as soon as it
+ * has its response. */
+gboolean net_account_is_condemned(const struct net_holder *holder);
+
+/**
+ * Closes holders until no limit is exceeded or none may be closed; returns
+ * their number. Above 7/8 of a limit of holders the ones idle for longest are
+ * closed, or condemned if they are not closable, so that there is room for new
+ * clients also while all others are being served.
+ */
 guint net_account_enforce(struct net_account *account);
 
 guint64 net_account_bytes(const struct net_account *account);
--- a/net/account_test.c
+++ b/net/account_test.c
@@ -103,14 +103,40 @@
 	for (i = 0; i <= MAX_HOLDERS; i++)
 		add(i, i % 2 ? "a" : "b", i, 0);
 	net_account_served(&holders[0], 100);
-	ck_assert_uint_eq(net_account_enforce(account), 1);
-	ck_assert_int_eq(closed, 1);
+	/* Down to 7/8 of the limit. */
+	ck_assert_uint_eq(net_account_enforce(account), 2);
+	ck_assert_int_eq(closed, 2);
+	ck_assert_ptr_null(holders[1].address);
 	ck_assert_int_eq(closed_excess, NET_EXCESS_HOLDERS);
 	remove_all();
 	teardown();
 }
 END_TEST
 
+/* Guards against a new client being closed since all others are being served at
+ * that moment. */
+START_TEST(test_room_for_new_clients)
+{
+	int i;
+
+	setup();
+	for (i = 0; i < 7; i++) {
+		add(i, i % 2 ? "a" : "b", i, 0);
+		net_account_set_closable(&holders[i], FALSE);
+	}
+	add(7, "c", 7, 0);
+	ck_assert_uint_eq(net_account_enforce(account), 0);
+	ck_assert(net_account_is_condemned(&holders[0]));
+	ck_assert(!net_account_is_condemned(&holders[1]));
+	add(8, "c", 8, 0);
+	/* Above the limit only what is closable can go. */
+	ck_assert_uint_eq(net_account_enforce(account), 1);
+	ck_assert_int_eq(closed, 7);
+	remove_all();
+	teardown();
+}
+END_TEST
+
 /* Guards against one address that takes what other addresses need. */
 START_TEST(test_share_of_an_address)
 {
@@ -120,11 +146,12 @@
 	add(0, "b", 0, 0);
 	for (i = 1; i <= 7; i++)
 		add(i, "a", i, 0);
-	ck_assert_uint_eq(net_account_enforce(account), 1);
-	ck_assert_int_eq(closed, 1);
-	ck_assert_int_eq(closed_excess, NET_EXCESS_ADDRESS_HOLDERS);
+	/* 6 are its share, of which 7/8 are 5. */
+	ck_assert_uint_eq(net_account_enforce(account), 2);
+	ck_assert_int_eq(closed, 2);
 	net_account_set_bytes(&holders[5], 400000);
 	net_account_set_bytes(&holders[6], 390000);
+	ck_assert_int_eq(net_account_excess(&holders[0]), NET_EXCESS_NONE);
 	ck_assert_uint_eq(net_account_enforce(account), 1);
 	ck_assert_int_eq(closed, 5);
 	ck_assert_int_eq(closed_excess, NET_EXCESS_ADDRESS_BYTES);
@@ -142,6 +169,19 @@
 
 static const char *const addresses[] = { "a", "b", "c" };
 
+/* Number of the holders of an address, or of all (-1), not condemned. */
+static guint free_count(const struct model_holder *model, int address)
+{
+	guint n = 0;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(holders); i++)
+		n += model[i].present &&
+		     (address < 0 || model[i].address == address) &&
+		     !net_account_is_condemned(&holders[i]);
+	return n;
+}
+
 /* Checks the sums, and that no limit is exceeded that a close could end. */
 static void check_model(const struct model_holder *model, gboolean enforced)
 {
@@ -161,7 +201,13 @@
 	ck_assert_uint_eq(net_account_bytes(account), total);
 	ck_assert_uint_eq(net_account_holders(account), n);
 	for (i = 0; enforced && i < G_N_ELEMENTS(holders); i++) {
-		if (!model[i].present || !holders[i].closable)
+		if (!model[i].present)
+			continue;
+		/* 7/8 of the limits, without those that are to be closed. */
+		ck_assert_uint_le(free_count(model, -1) * 8, MAX_HOLDERS * 7);
+		ck_assert_uint_le(free_count(model, model[i].address) * 8,
+				  MAX_HOLDERS * PERCENT / 100 * 7);
+		if (!holders[i].closable)
 			continue;
 		ck_assert_uint_le(total, MAX_BYTES);
 		ck_assert_uint_le(n, MAX_HOLDERS);
@@ -225,6 +271,7 @@
 	tcase_add_test(tcase, test_largest_first);
 	tcase_add_test(tcase, test_not_closable);
 	tcase_add_test(tcase, test_longest_idle_first);
+	tcase_add_test(tcase, test_room_for_new_clients);
 	tcase_add_test(tcase, test_share_of_an_address);
 	tcase_add_loop_test(tcase, test_random, 0, 20);
 	suite_add_tcase(suite, tcase);
