serve: bound what clients make the entry hold

The entry read a refused body to its end, and neither connections nor buffered bytes were bounded. The server for callers now uses net/clients.c, which takes over the code for slow senders, refusals by evhttp and accepted connections. A body above max_body_bytes is refused at its header, or at the first chunk above the limit, and the connection is closed.

The metric radishpier_slow_senders_total stays. radishpier_clients_limited_total counts all limits.

--- a/config/config.h
+++ b/config/config.h
@@ -165,6 +165,8 @@
 	unsigned kv_timeout_ms;
 	unsigned max_body_bytes;
 	unsigned caller_idle_timeout_ms;
+	/** Memory that the process may have; 0: not given. */
+	gint64 memory_limit_bytes;
 	/** Time from the stop signal until the listeners are closed. */
 	unsigned drain_grace_ms;
 	unsigned drain_timeout_ms;
--- a/config/settings.c
+++ b/config/settings.c
@@ -29,6 +29,8 @@
 	  MAX_BODY_BYTES },
 	{ "caller_idle_timeout_ms", CFG_COUNT, ENTRY(caller_idle_timeout_ms),
 	  "60000", 100, MAX_TIMEOUT_MS },
+	{ "memory_limit_bytes", CFG_AMOUNT, ENTRY(memory_limit_bytes), "0", 0,
+	  MAX_VM_MEMORY_BYTES },
 	{ "drain_grace_ms", CFG_COUNT, ENTRY(drain_grace_ms), "1000", 0,
 	  MAX_GRACE_MS },
 	{ "drain_timeout_ms", CFG_COUNT, ENTRY(drain_timeout_ms), "30000", 100,
--- a/radishpier/srv.h
+++ b/radishpier/srv.h
@@ -10,6 +10,7 @@
 #include "../entry/entry.h"
 #include "../jobs/jobs.h"
 #include "../kv/kv.h"
+#include "../net/clients.h"
 #include "../net/net.h"
 #include "../obs/obs.h"
 #include "../wire/wire.h"
@@ -56,6 +57,8 @@
 	struct event_base *base;
 	struct ent *ent;
 	struct obs_metrics *metrics;
+	/** What the clients of all servers hold. */
+	struct net_account *account;
 	GRand *random;
 	/** Of struct ent_effect; emptied after each event and reused. */
 	GArray *effects;
--- a/radishpier/srv_http.c
+++ b/radishpier/srv_http.c
@@ -9,27 +9,21 @@
 #include <sys/queue.h>
 #include <sys/socket.h>
 
+#include "../net/clients.h"
 #include "../net/net.h"
 
 /** Limit of the total length of a request's header names and values. */
 #define MAX_HEADER_BYTES (16 * 1024)
 #define MAX_HEADERS 128
+/** Limit of the time until a header section is complete; callers that keep to
+ * their limits take up to 3 s. */
+#define HEADER_TIMEOUT_MS 5000
 #define MAX_TIMEOUT_MS (24 * 3600 * 1000)
 #define MAX_IDEMPOTENCY_KEY_BYTES 255
 
 /** Up to this size a copy of a body is cheaper than a reference to it. */
 #define COPY_BODY_MAX_BYTES 2048
 
-/** Interval at which connections are checked for slow senders. */
-#define SCAN_INTERVAL_MS 100
-
-/**
- * evhttp's body limit is this much above the entry's, which on_request()
- * enforces: when evhttp refuses a body itself, it waits for more data, and none
- * comes if it has already read the whole body.
- */
-#define EVHTTP_BODY_MARGIN_BYTES (64 * 1024)
-
 #define REQUEST_ID_CHARS 24
 
 #define HEADER_REQUEST_ID "Radishpier-Request-Id"
@@ -39,42 +33,28 @@
 /** A connection of a caller; evhttp handles one request at a time on it. */
 struct caller {
 	struct srv_http *http;
+	struct net_client *client;
 	struct evhttp_connection *evcon;
-	struct evbuffer_cb_entry *input_cb;
-	struct evbuffer_cb_entry *output_cb;
 	/** Fires if the caller disconnects while a request is in flight. */
 	struct event *close_event;
-	/** Arrival of the first byte of a request being received, or 0. */
-	gint64 receiving_since_ms;
 	/** The request in flight, or NULL. */
 	struct evhttp_request *req;
 	/** Handle of the request in flight. */
 	guint64 handle;
 	/** An answer is being written. */
 	gboolean writing;
-	/** Status of an answer that evhttp generates itself, or 0. */
-	unsigned evhttp_status;
 	char request_id[REQUEST_ID_CHARS + 1];
-	GList link;
 };
 
 struct srv_http {
 	struct srv *srv;
-	struct evhttp *evhttp;
+	struct net_clients *clients;
 	struct evconnlistener *listener;
 	struct evhttp_bound_socket *bound;
-	/** Of bufferevent pointers that have no struct caller yet. */
-	GPtrArray *accepted;
-	/** Made active to run on_accepted(). */
-	struct event *accepted_event;
-	/** evhttp_connection -> struct caller. */
-	GHashTable *by_evcon;
 	/** Handle -> struct caller. */
 	GHashTable *by_handle;
-	GQueue callers;
 	/** Callers to whom an answer is being written. */
 	unsigned writing;
-	gint64 next_scan_ms;
 	/** Random per process; request ids are the prefix and a counter. */
 	guint64 id_prefix;
 	guint64 id_count;
@@ -83,18 +63,12 @@
 	const Rp__Header *header_list[MAX_HEADERS];
 };
 
-static const char request_timeout_answer[] = "HTTP/1.1 408 Request Timeout\r\n"
-					     "Radishpier-Outcome: not-run\r\n"
-					     "Connection: close\r\n"
-					     "Content-Length: 0\r\n\r\n";
-
 static void set_busy(struct caller *caller, struct evhttp_request *req)
 {
 	struct srv_http *http = caller->http;
 
 	caller->req = req;
 	caller->handle = ++http->srv->last_handle;
-	caller->receiving_since_ms = 0;
 	g_snprintf(caller->request_id, sizeof(caller->request_id),
 		   "%016" G_GINT64_MODIFIER "x%08x", http->id_prefix,
 		   (unsigned)++http->id_count);
@@ -111,25 +85,19 @@
 	caller->req = NULL;
 }
 
-/* evhttp calls this before it frees the connection. */
-static void on_connection_closed(struct evhttp_connection *evcon, void *ctx)
+/* Called before the connection is freed. */
+static void on_connection_closed(void *ctx)
 {
 	struct caller *caller = ctx;
 	struct srv_http *http = caller->http;
 	struct ent_event ev = { .kind = ENT_EV_CALLER_DISCONNECTED };
-	struct bufferevent *bev = evhttp_connection_get_bufferevent(evcon);
 	gboolean was_busy = caller->req != NULL;
 
 	ev.disconnected.handle = caller->handle;
 	set_idle(caller);
 	if (caller->writing)
 		http->writing--;
-	evbuffer_remove_cb_entry(bufferevent_get_input(bev), caller->input_cb);
-	evbuffer_remove_cb_entry(bufferevent_get_output(bev),
-				 caller->output_cb);
 	event_free(caller->close_event);
-	g_hash_table_remove(http->by_evcon, evcon);
-	g_queue_unlink(&http->callers, &caller->link);
 	g_free(caller);
 	if (was_busy)
 		srv_dispatch(http->srv, &ev);
@@ -144,135 +112,34 @@
 	evhttp_connection_free(caller->evcon);
 }
 
-static void on_input(struct evbuffer *buffer,
-		     const struct evbuffer_cb_info *info, void *ctx)
-{
-	struct caller *caller = ctx;
-
-	(void)buffer;
-	if (info->n_added && !caller->req && !caller->receiving_since_ms)
-		caller->receiving_since_ms = net_now_ms();
-}
-
-/* Returns the status in the status line at the start of the buffer, or 0. */
-static unsigned answer_status(struct evbuffer *buffer)
-{
-	char line[sizeof("HTTP/1.1 400")] = "";
-	ev_ssize_t n = evbuffer_copyout(buffer, line, sizeof(line) - 1);
-	const char *space = n > 0 ? strchr(line, ' ') : NULL;
-
-	return space ? (unsigned)g_ascii_strtoull(space, NULL, 10) : 0;
-}
-
-/*
- * evhttp itself answers a request that it cannot parse, with an HTML page that
- * it adds to the output in pieces. Each piece is replaced by an answer in the
- * form of refuse()'s; such a request was not dispatched.
- */
-static void on_output(struct evbuffer *buffer,
-		      const struct evbuffer_cb_info *info, void *ctx)
-{
-	struct caller *caller = ctx;
-	const char *text;
-
-	if (!info->n_added || caller->req || caller->writing)
-		return;
-	if (!caller->evhttp_status)
-		caller->evhttp_status = answer_status(buffer);
-	/* "100 Continue" is sent as it is. */
-	if (caller->evhttp_status < 400) {
-		caller->evhttp_status = 0;
-		return;
-	}
-	text = caller->evhttp_status == 413   ? "the body is too large\n"
-	       : caller->evhttp_status == 501 ? "the method is not supported\n"
-					      : "the request is malformed\n";
-	/* Keeps this function from replacing the changes made here. */
-	caller->writing = TRUE;
-	evbuffer_drain(buffer, evbuffer_get_length(buffer));
-	evbuffer_add_printf(buffer,
-			    "HTTP/1.1 %u Refused\r\n" HEADER_OUTCOME
-			    ": not-run\r\nContent-Type: text/plain\r\n"
-			    "Connection: close\r\n"
-			    "Content-Length: %zu\r\n\r\n%s",
-			    caller->evhttp_status, strlen(text), text);
-	caller->writing = FALSE;
-}
-
-static void caller_new(struct srv_http *http, struct evhttp_connection *evcon)
+static void on_open(struct net_client *client, void *ctx)
 {
-	struct bufferevent *bev = evhttp_connection_get_bufferevent(evcon);
-	evutil_socket_t fd = bufferevent_getfd(bev);
+	struct srv_http *http = ctx;
 	struct caller *caller = g_new0(struct caller, 1);
+	evutil_socket_t fd;
 	int on = 1;
 
-	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 	caller->http = http;
-	caller->evcon = evcon;
-	caller->link.data = caller;
+	caller->client = client;
+	caller->evcon = net_client_connection(client);
+	fd = bufferevent_getfd(
+		evhttp_connection_get_bufferevent(caller->evcon));
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 	caller->close_event = event_new(http->srv->base, fd, EV_CLOSED,
 					on_caller_closed, caller);
-	caller->input_cb = evbuffer_add_cb(bufferevent_get_input(bev), on_input,
-					   caller);
-	caller->output_cb = evbuffer_add_cb(bufferevent_get_output(bev),
-					    on_output, caller);
-	evhttp_connection_set_closecb(evcon, on_connection_closed, caller);
-	g_hash_table_insert(http->by_evcon, evcon, caller);
-	g_queue_push_tail_link(&http->callers, &caller->link);
-}
-
-/*
- * Creates the callers of accepted connections, before anything is read from
- * them: an event that is made active runs before the loop polls again. evhttp
- * has no callback for a new connection, but sets the connection as the context
- * of its bufferevent callbacks.
- */
-static void on_accepted(evutil_socket_t fd, short what, void *ctx)
-{
-	struct srv_http *http = ctx;
-	guint i;
-
-	(void)fd;
-	(void)what;
-	for (i = 0; i < http->accepted->len; i++) {
-		struct bufferevent *bev = g_ptr_array_index(http->accepted, i);
-		void *evcon = NULL;
-
-		bufferevent_getcb(bev, NULL, NULL, NULL, &evcon);
-		g_assert(evcon &&
-			 evhttp_connection_get_bufferevent(evcon) == bev);
-		caller_new(http, evcon);
-	}
-	g_ptr_array_set_size(http->accepted, 0);
-}
-
-/* Called by evhttp for each connection that it accepts. */
-static struct bufferevent *on_new_bufferevent(struct event_base *base,
-					      void *ctx)
-{
-	struct srv_http *http = ctx;
-	struct bufferevent *bev = bufferevent_socket_new(base, -1, 0);
-
-	if (!bev)
-		return NULL;
-	g_ptr_array_add(http->accepted, bev);
-	event_active(http->accepted_event, 0, 0);
-	return bev;
+	net_client_set_user(client, caller);
+	net_client_on_close(client, on_connection_closed, caller);
 }
 
 static void on_written(struct evhttp_request *req, void *ctx)
 {
 	struct caller *caller = ctx;
-	struct bufferevent *bev =
-		evhttp_connection_get_bufferevent(caller->evcon);
 
 	(void)req;
 	if (!caller->writing)
 		return;
 	caller->writing = FALSE;
 	caller->http->writing--;
-	if (evbuffer_get_length(bufferevent_get_input(bev)))
-		caller->receiving_since_ms = net_now_ms();
 }
 
 static void free_reply(const void *data, size_t len, void *ctx)
@@ -544,8 +411,8 @@
 static void on_request(struct evhttp_request *req, void *ctx)
 {
 	struct srv_http *http = ctx;
-	struct evhttp_connection *evcon = evhttp_request_get_connection(req);
-	struct caller *caller = g_hash_table_lookup(http->by_evcon, evcon);
+	struct caller *caller =
+		net_client_user(net_clients_find(http->clients, req));
 	struct evbuffer *body = evhttp_request_get_input_buffer(req);
 	struct ent_event ev = { .kind = ENT_EV_REQUEST };
 	struct ent_request *request = &ev.request;
@@ -570,38 +437,9 @@
 		srv_dispatch(http->srv, &ev);
 }
 
-/*
- * Sends 408 on the socket itself, without evhttp, and closes: nothing else is
- * being written while a request is received.
- */
-static void close_slow_sender(struct caller *caller)
-{
-	struct bufferevent *bev =
-		evhttp_connection_get_bufferevent(caller->evcon);
-
-	send(bufferevent_getfd(bev), request_timeout_answer,
-	     sizeof(request_timeout_answer) - 1, MSG_DONTWAIT | MSG_NOSIGNAL);
-	obs_count(caller->http->srv->metrics, "radishpier_slow_senders_total",
-		  NULL, 1);
-	evhttp_connection_free(caller->evcon);
-}
-
 void srv_http_tick(struct srv_http *http, gint64 now_ms)
 {
-	gint64 limit_ms = http->srv->settings->caller_idle_timeout_ms;
-	GList *l, *next;
-
-	if (now_ms < http->next_scan_ms)
-		return;
-	http->next_scan_ms = now_ms + SCAN_INTERVAL_MS;
-	for (l = http->callers.head; l; l = next) {
-		struct caller *caller = l->data;
-
-		next = l->next;
-		if (caller->receiving_since_ms &&
-		    now_ms - caller->receiving_since_ms >= limit_ms)
-			close_slow_sender(caller);
-	}
+	net_clients_tick(http->clients, now_ms);
 }
 
 static void init_headers(struct srv_http *http)
@@ -617,33 +455,33 @@
 struct srv_http *srv_http_new(struct srv *srv, GError **error)
 {
 	struct srv_http *http = g_new0(struct srv_http, 1);
-	/* Above that of srv_http_tick(), so that a slow sender gets 408. */
-	gint64 timeout_ms = srv->settings->caller_idle_timeout_ms + 1000;
-	struct timeval timeout = { timeout_ms / 1000,
-				   timeout_ms % 1000 * 1000 };
+	gint64 timeout_ms = srv->settings->caller_idle_timeout_ms;
+	const struct net_clients_options options = {
+		.base = srv->base,
+		.account = srv->account,
+		.metrics = srv->metrics,
+		.name = "callers",
+		.methods = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD |
+			   EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE |
+			   EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH,
+		.max_header_bytes = MAX_HEADER_BYTES,
+		.max_body_bytes = srv->settings->max_body_bytes,
+		.header_timeout_ms = MIN(HEADER_TIMEOUT_MS, timeout_ms),
+		.request_timeout_ms = timeout_ms,
+		/* Above the other, so that a slow sender gets 408. */
+		.idle_timeout_ms = timeout_ms + 1000,
+		.refusal_headers = HEADER_OUTCOME ": not-run\r\n",
+		.on_request = on_request,
+		.on_open = on_open,
+		.ctx = http,
+	};
 
 	http->srv = srv;
-	http->accepted = g_ptr_array_new();
-	http->accepted_event = event_new(srv->base, -1, 0, on_accepted, http);
-	http->by_evcon = g_hash_table_new(NULL, NULL);
 	http->by_handle = g_hash_table_new(g_int64_hash, g_int64_equal);
 	http->id_prefix = ((guint64)g_rand_int(srv->random) << 32) |
 			  g_rand_int(srv->random);
 	init_headers(http);
-	http->evhttp = evhttp_new(srv->base);
-	evhttp_set_allowed_methods(
-		http->evhttp, EVHTTP_REQ_GET | EVHTTP_REQ_POST |
-				      EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
-				      EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS |
-				      EVHTTP_REQ_PATCH);
-	evhttp_set_max_headers_size(http->evhttp, MAX_HEADER_BYTES);
-	evhttp_set_max_body_size(http->evhttp,
-				 srv->settings->max_body_bytes +
-					 EVHTTP_BODY_MARGIN_BYTES);
-	evhttp_set_flags(http->evhttp, EVHTTP_SERVER_LINGERING_CLOSE);
-	evhttp_set_timeout_tv(http->evhttp, &timeout);
-	evhttp_set_bevcb(http->evhttp, on_new_bufferevent, http);
-	evhttp_set_gencb(http->evhttp, on_request, http);
+	http->clients = net_clients_new(&options);
 	http->listener = srv_listen(srv, "caller_address",
 				    srv->settings->caller_address, NULL, NULL,
 				    error);
@@ -651,16 +489,14 @@
 		srv_http_free(http);
 		return NULL;
 	}
-	http->bound = evhttp_bind_listener(http->evhttp, http->listener);
+	http->bound = evhttp_bind_listener(net_clients_http(http->clients),
+					   http->listener);
 	return http;
 }
 
 void srv_http_free(struct srv_http *http)
 {
-	evhttp_free(http->evhttp);
-	event_free(http->accepted_event);
-	g_ptr_array_unref(http->accepted);
-	g_hash_table_unref(http->by_evcon);
+	net_clients_free(http->clients);
 	g_hash_table_unref(http->by_handle);
 	g_free(http);
 }
@@ -668,7 +504,8 @@
 void srv_http_stop_accepting(struct srv_http *http)
 {
 	if (http->bound)
-		evhttp_del_accept_socket(http->evhttp, http->bound);
+		evhttp_del_accept_socket(net_clients_http(http->clients),
+					 http->bound);
 	http->bound = NULL;
 }
 
@@ -679,5 +516,5 @@
 
 unsigned srv_http_connections(const struct srv_http *http)
 {
-	return http->callers.length;
+	return net_clients_count(http->clients);
 }
--- a/radishpier/srv_ops.c
+++ b/radishpier/srv_ops.c
@@ -132,6 +132,10 @@
 	}
 	update_job_values(srv);
 	update_wire(srv);
+	net_account_update_metrics(srv->account, metrics);
+	obs_count_set(metrics, "radishpier_slow_senders_total", NULL,
+		      obs_counter(metrics, "radishpier_clients_limited_total",
+				  "server=\"callers\",limit=\"slow\""));
 	srv_conns_count(srv->conns, &agents, &peers);
 	obs_gauge(metrics, "radishpier_agents", NULL, agents);
 	obs_gauge(metrics, "radishpier_peers", NULL, peers);
--- a/radishpier/srv_run.c
+++ b/radishpier/srv_run.c
@@ -341,6 +341,9 @@
 				       .zone = settings->zone,
 				       .agent_address =
 					       settings->agent_address };
+	const struct net_process_limits limits = {
+		.memory_bytes = (guint64)settings->memory_limit_bytes,
+	};
 	g_autofree char *boot_id = read_boot_id();
 	g_autofree char *instance = g_uuid_string_random();
 	guint32 seed;
@@ -361,6 +364,7 @@
 		return -1;
 	}
 	srv->metrics = obs_metrics_new();
+	srv->account = net_process_account(&limits);
 	srv->effects = ent_effects_new();
 	srv->pending_events = g_array_new(FALSE, FALSE,
 					  sizeof(struct ent_event));
@@ -392,6 +396,7 @@
 		srv_store_free(srv->store);
 	if (srv->ops)
 		srv_ops_free(srv->ops);
+	net_account_free(srv->account);
 	if (srv->jobs)
 		srv_jobs_free(srv->jobs);
 	if (srv->ent)
--- a/tests/client_limits_test.c
+++ b/tests/client_limits_test.c
@@ -153,6 +153,15 @@
 	}
 }
 
+static void append_memory_limit(const char *settings)
+{
+	FILE *file = fopen(settings, "a");
+
+	ck_assert_ptr_nonnull(file);
+	fprintf(file, "memory_limit_bytes: %d\n", MEMORY_MB << 20);
+	fclose(file);
+}
+
 /* A site of one entry and one VM, whose entry is started again with few
  * descriptors. */
 static void start_serve(struct front *front)
@@ -170,6 +179,7 @@
 	front->site = fixture_start(&options);
 	entry = &front->site->processes[SITE_ENTRY][0];
 	site_signal(front->site, SITE_ENTRY, 0, SIGKILL);
+	append_memory_limit(entry->settings);
 	memcpy(entry_args, args, sizeof(args));
 	entry_args[3] = entry->settings;
 	log = g_build_filename(front->site->dir, "entry-0.log", NULL);
