net: refuse large bodies without a route by their header

A body within the limit was received as a whole before a request to a path without a route was answered. For bodies above 64 KiB the server now looks at a header section that arrived in one piece and answers 404 at once, with a close; smaller ones are answered as before and keep the connection. Only `serve` uses it: entries on the users' platform know the routes only while they lead, and bodies there have at most 256 KiB.

--- a/net/clients.c
+++ b/net/clients.c
@@ -5,8 +5,8 @@
 #include <string.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
+#include "linger.h"
 #include "net.h"
 
 /*
@@ -25,10 +25,8 @@
  * connection may be closed if the account is exceeded. */
 #define UNREAD_MS 1000
 
-/** A refused client's connection stays open for this time, in which what it
- * sends is discarded: closed at once, the client could lose the response. */
-#define LINGER_MS 1000
-#define LINGER_MAX_BYTES (4 * 1024 * 1024)
+/** Log lines of a server about limits. */
+#define LOG_LINES_PER_S 10
 
 /** Part of a process's memory that clients may hold. */
 #define MEMORY_DIVISOR 4
@@ -76,6 +74,8 @@
 	gboolean full;
 	/** To be closed by on_check(). */
 	gboolean closing;
+	/** To be refused with 404 then; its input is discarded. */
+	gboolean no_route;
 	/** Status of a refusal by evhttp itself, or 0. */
 	guint refusal;
 	/** on_output() is changing the buffer. */
@@ -85,16 +85,6 @@
 	void *user;
 };
 
-/** A refused connection that waits for its client to read the response. */
-struct lingering_socket {
-	struct net_holder holder;
-	struct net_clients *clients;
-	GList link;
-	struct event *event;
-	int fd;
-	gsize discarded;
-};
-
 struct net_clients {
 	struct net_clients_options options;
 	struct evhttp *http;
@@ -111,26 +101,59 @@
 	GPtrArray *closing;
 	/** Runs on_check() outside of evhttp's callbacks. */
 	struct event *check_event;
-	/** Of struct lingering_socket. */
-	GQueue lingering;
+	struct net_linger linger;
+	/** Start of the second in which log lines are counted, and their number
+	 * in it. */
+	gint64 log_second_ms;
+	guint log_lines;
+	/** Lines dropped since the last one. */
+	guint log_dropped;
 };
 
+/* Counts a log line; returns FALSE if it is to be dropped. */
+static gboolean may_log(struct net_clients *clients, gint64 now_ms)
+{
+	if (now_ms >= clients->log_second_ms + 1000) {
+		clients->log_second_ms = now_ms;
+		clients->log_lines = 0;
+	}
+	if (clients->log_lines++ < LOG_LINES_PER_S)
+		return TRUE;
+	clients->log_dropped++;
+	return FALSE;
+}
+
 /* limit is the name of the limit that the client exceeded. */
-static void report(struct net_client *client, const char *limit)
+static void log_limit(struct net_client *client, const char *limit)
 {
-	const struct net_clients_options *options = &client->clients->options;
-	g_autofree char *labels = NULL;
+	struct net_clients *clients = client->clients;
+	const struct net_account *account = clients->options.account;
+	g_autofree char *dropped = NULL;
 	ev_uint16_t port;
 	char *address;
 
+	if (!may_log(clients, net_now_ms()))
+		return;
+	if (clients->log_dropped)
+		dropped = g_strdup_printf("; %u such lines dropped",
+					  clients->log_dropped);
+	clients->log_dropped = 0;
 	evhttp_connection_get_peer(client->evcon, &address, &port);
 	g_info("%s: connection of %s port %u closed by limit %s: "
 	       "%" G_GSIZE_FORMAT
 	       " bytes; all clients: %u connections, %" G_GUINT64_FORMAT
-	       " bytes",
-	       options->name, address, port, limit, client->holder.bytes,
-	       net_account_holders(options->account),
-	       net_account_bytes(options->account));
+	       " bytes%s",
+	       clients->options.name, address, port, limit,
+	       client->holder.bytes, net_account_holders(account),
+	       net_account_bytes(account), dropped ? dropped : "");
+}
+
+static void report(struct net_client *client, const char *limit)
+{
+	const struct net_clients_options *options = &client->clients->options;
+	g_autofree char *labels = NULL;
+
+	log_limit(client, limit);
 	if (!options->metrics)
 		return;
 	labels = g_strdup_printf("server=\"%s\",limit=\"%s\"", options->name,
@@ -206,6 +229,46 @@
 	}
 }
 
+/* Has the connection closed by on_check(), outside of evhttp's callbacks. */
+static void close_later(struct net_client *client)
+{
+	if (client->closing)
+		return;
+	client->closing = TRUE;
+	g_ptr_array_add(client->clients->closing, client);
+	schedule_check(client->clients);
+}
+
+/*
+ * Looks at a header section that is in the input as a whole. If the request has
+ * no route, what was received is discarded, so that evhttp does not see it, and
+ * on_check() refuses the request.
+ */
+static void examine_head(struct net_client *client, struct evbuffer *input)
+{
+	const struct net_clients_options *options = &client->clients->options;
+	struct evbuffer_ptr end;
+	struct net_head head;
+
+	/* Without a body, or with all of it, evhttp is as early. */
+	if (!options->has_no_route || client->request_len)
+		return;
+	end = evbuffer_search(input, "\r\n\r\n", 4, NULL);
+	if (end.pos < 0 ||
+	    !net_head_parse(&head,
+			    (const char *)evbuffer_pullup(input, end.pos),
+			    (gsize)end.pos))
+		return;
+	if (head.body_len > NET_EARLY_BODY_BYTES &&
+	    head.body_len <= options->max_body_bytes &&
+	    options->has_no_route(&head, options->ctx)) {
+		client->no_route = TRUE;
+		evbuffer_drain(input, evbuffer_get_length(input));
+		close_later(client);
+	}
+	net_head_clear(&head);
+}
+
 static void start_receiving(struct net_client *client, struct evbuffer *input,
 			    gsize offset)
 {
@@ -213,6 +276,8 @@
 	client->since_ms = net_now_ms();
 	client->line_len = 0;
 	scan_header(client, input, offset);
+	if (client->state == STATE_BODY)
+		examine_head(client, input);
 }
 
 static void on_input(struct evbuffer *input,
@@ -222,6 +287,11 @@
 	struct net_clients *clients = client->clients;
 	gsize len = evbuffer_get_length(input);
 
+	if (client->no_route) {
+		if (info->n_added)
+			evbuffer_drain(input, len);
+		return;
+	}
 	if (info->n_added && client->state == STATE_IDLE)
 		start_receiving(client, input, len - info->n_added);
 	else if (info->n_added && client->state == STATE_HEADER)
@@ -290,16 +360,6 @@
 		report(client, "body");
 }
 
-/* Has the connection closed by on_check(), outside of evhttp's callbacks. */
-static void close_later(struct net_client *client)
-{
-	if (client->closing)
-		return;
-	client->closing = TRUE;
-	g_ptr_array_add(client->clients->closing, client);
-	schedule_check(client->clients);
-}
-
 static void end_response(struct net_client *client)
 {
 	struct evbuffer *input = bufferevent_get_input(client->bev);
@@ -340,67 +400,13 @@
 	count_bytes(client);
 }
 
-static void free_linger(struct lingering_socket *linger)
-{
-	net_account_remove(&linger->holder);
-	g_queue_unlink(&linger->clients->lingering, &linger->link);
-	event_free(linger->event);
-	close(linger->fd);
-	g_free(linger);
-}
-
-static void on_linger(evutil_socket_t fd, short what, void *ctx)
-{
-	struct lingering_socket *linger = ctx;
-	char buffer[16384];
-	ssize_t n = -1;
-
-	if (what & EV_READ)
-		n = recv(fd, buffer, sizeof(buffer), MSG_DONTWAIT);
-	if (n > 0)
-		linger->discarded += (gsize)n;
-	if (n <= 0 || linger->discarded > LINGER_MAX_BYTES)
-		free_linger(linger);
-}
-
-static void close_linger(struct net_holder *holder,
-			 enum net_excess excess G_GNUC_UNUSED)
-{
-	free_linger((struct lingering_socket *)holder);
-}
-
-/* Keeps the socket of a refused client open for a while. */
-static void start_linger(struct net_client *client)
-{
-	static const struct timeval timeout = { LINGER_MS / 1000,
-						LINGER_MS % 1000 * 1000 };
-	struct net_clients *clients = client->clients;
-	int fd = dup(bufferevent_getfd(client->bev));
-	struct lingering_socket *linger;
-	ev_uint16_t port;
-	char *address;
-
-	if (fd < 0)
-		return;
-	evhttp_connection_get_peer(client->evcon, &address, &port);
-	linger = g_new0(struct lingering_socket, 1);
-	linger->clients = clients;
-	linger->fd = fd;
-	linger->link.data = linger;
-	linger->event = event_new(clients->options.base, fd,
-				  EV_READ | EV_PERSIST, on_linger, linger);
-	linger->holder.close = close_linger;
-	g_queue_push_tail_link(&clients->lingering, &linger->link);
-	net_account_add(clients->options.account, &linger->holder, address,
-			net_now_ms());
-	event_add(linger->event, &timeout);
-}
-
 /* evhttp calls this before it frees the connection. */
 static void on_connection_closed(struct evhttp_connection *evcon, void *ctx)
 {
 	struct net_client *client = ctx;
 	struct net_clients *clients = client->clients;
+	ev_uint16_t peer_port;
+	char *address;
 
 	if (client->full)
 		g_ptr_array_remove_fast(clients->full, client);
@@ -413,8 +419,11 @@
 	g_hash_table_remove(clients->by_evcon, evcon);
 	g_queue_unlink(&clients->open, &client->link);
 	net_account_remove(&client->holder);
-	if (client->refusal)
-		start_linger(client);
+	if (client->refusal || client->no_route) {
+		evhttp_connection_get_peer(evcon, &address, &peer_port);
+		net_linger_add(&clients->linger, bufferevent_getfd(client->bev),
+			       address, net_now_ms());
+	}
 	if (client->close_fn)
 		client->close_fn(client->close_ctx);
 	g_free(client);
@@ -461,6 +470,11 @@
 		/* It was passed a further request meanwhile. */
 		if (client->state == STATE_BUSY)
 			continue;
+		if (client->no_route) {
+			report(client, "no-route");
+			refuse_and_close(client, "404 Not Found");
+			continue;
+		}
 		report(client, net_excess_name(NET_EXCESS_HOLDERS));
 		evhttp_connection_free(client->evcon);
 	}
@@ -608,6 +622,8 @@
 				   options->idle_timeout_ms % 1000 * 1000 };
 
 	clients->options = *options;
+	clients->linger.base = options->base;
+	clients->linger.account = options->account;
 	clients->accepted = g_ptr_array_new();
 	clients->full = g_ptr_array_new();
 	clients->closing = g_ptr_array_new();
@@ -633,8 +649,7 @@
 	if (!clients)
 		return;
 	evhttp_free(clients->http);
-	while (clients->lingering.head)
-		free_linger(clients->lingering.head->data);
+	net_linger_clear(&clients->linger);
 	event_free(clients->accepted_event);
 	event_free(clients->check_event);
 	g_ptr_array_unref(clients->accepted);
--- a/net/clients.h
+++ b/net/clients.h
@@ -8,6 +8,7 @@
 
 #include "../obs/obs.h"
 #include "account.h"
+#include "head.h"
 
 /*
  * An HTTP server whose clients may violate every limit. It bounds what each
@@ -15,6 +16,10 @@
  * process's servers, and closes connections when a limit is exceeded.
  */
 
+/** A request without a route and with a larger body is refused by its header,
+ * and its connection is closed; below that the connection is kept. */
+#define NET_EARLY_BODY_BYTES 65536
+
 struct net_clients;
 /** A connection of a client. */
 struct net_client;
@@ -41,6 +46,12 @@
 	const char *refusal_headers;
 	/** Called for each complete request, which must be answered. */
 	void (*on_request)(struct evhttp_request *req, void *ctx);
+	/**
+	 * Returns TRUE if a request with a body of more than
+	 * NET_EARLY_BODY_BYTES has no route, so that it is refused with 404
+	 * before its body is received. May be NULL.
+	 */
+	gboolean (*has_no_route)(const struct net_head *head, void *ctx);
 	/** Called for each new connection; may be NULL. */
 	void (*on_open)(struct net_client *client, void *ctx);
 	void *ctx;
--- a/net/clients_test.c
+++ b/net/clients_test.c
@@ -49,6 +49,15 @@
 		respond(req);
 }
 
+/* Paths with "nowhere" have no route. */
+static gboolean has_no_route(const struct net_head *head,
+			     void *ctx G_GNUC_UNUSED)
+{
+	ck_assert_str_eq(head->method, "POST");
+	ck_assert_str_eq(head->host, "h");
+	return strstr(head->target, "nowhere") != NULL;
+}
+
 static void setup(guint64 max_bytes)
 {
 	const struct net_account_options account_options = { max_bytes, 100,
@@ -63,6 +72,7 @@
 		.idle_timeout_ms = 60000,
 		.refusal_headers = "",
 		.on_request = on_request,
+		.has_no_route = has_no_route,
 	};
 
 	requests = 0;
@@ -265,6 +275,72 @@
 }
 END_TEST
 
+/* Guards against a body being received whose path has no route, and against a
+ * connection being closed for a small one. */
+START_TEST(test_no_route)
+{
+	g_autoptr(GString) text = g_string_new(NULL);
+	g_autoptr(GString) out = g_string_new(NULL);
+	int fd;
+
+	setup(1 << 20);
+	fd = dial();
+	append_request(text, "/nowhere/1", 1000);
+	append_request(text, "/a", 100000);
+	append_request(text, "/nowhere/2", 100000);
+	/* Not all of the last body. */
+	ck_assert(send_text(fd, text->str, text->len - 90000));
+	ck_assert(receive(fd, out, NULL, 0));
+	ck_assert_ptr_nonnull(strstr(out->str, "</nowhere/1 1000>"));
+	ck_assert_ptr_nonnull(strstr(out->str, "</a 100000>"));
+	ck_assert_ptr_nonnull(strstr(out->str, "HTTP/1.1 404"));
+	ck_assert_uint_eq(requests, 2);
+	close(fd);
+	teardown();
+}
+END_TEST
+
+/* Guards against a request being refused for a header section that was read
+ * differently from evhttp. */
+START_TEST(test_head)
+{
+	static const struct {
+		const char *text;
+		/** 0: not parsed. */
+		guint64 body_len;
+	} cases[] = {
+		{ "POST /a?b HTTP/1.1\r\nHost: h:80\r\nContent-Length: 5", 5 },
+		{ "POST /a?b HTTP/1.1\r\nhost:h\r\n"
+		  "TRANSFER-ENCODING: chunked",
+		  G_MAXUINT64 },
+		{ "POST /a?b HTTP/1.1\r\nHost: h", 0 },
+		{ "POST http://h/a HTTP/1.1\r\nContent-Length: 5", 0 },
+		{ "POST /a b HTTP/1.1\r\nContent-Length: 5", 0 },
+		{ "POST /a HTTP/1.1\r\nContent-Length: 5\r\n"
+		  "Content-Length: 6",
+		  0 },
+		{ "POST /a HTTP/1.1\r\nContent-Length: -5", 0 },
+		{ "", 0 },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct net_head head;
+		gboolean parsed = net_head_parse(&head, cases[i].text,
+						 strlen(cases[i].text));
+
+		ck_assert_msg(parsed == (cases[i].body_len != 0), "%s",
+			      cases[i].text);
+		if (!parsed)
+			continue;
+		ck_assert_uint_eq(head.body_len, cases[i].body_len);
+		ck_assert_str_eq(head.host, "h");
+		ck_assert_str_eq(head.target, "/a?b");
+		net_head_clear(&head);
+	}
+}
+END_TEST
+
 /* Guards against clients that trickle, and against a header's time limit that
  * applies to bodies. */
 START_TEST(test_slow)
@@ -339,6 +415,8 @@
 	tcase_add_test(tcase, test_pipelined);
 	tcase_add_test(tcase, test_largest_header);
 	tcase_add_loop_test(tcase, test_body_too_large, 0, 3);
+	tcase_add_test(tcase, test_no_route);
+	tcase_add_test(tcase, test_head);
 	tcase_add_loop_test(tcase, test_slow, 0, 3);
 	tcase_add_test(tcase, test_too_many_bytes);
 	suite_add_tcase(suite, tcase);
--- a/radishpier/srv_http.c
+++ b/radishpier/srv_http.c
@@ -442,6 +442,18 @@
 	net_clients_tick(http->clients, now_ms);
 }
 
+static gboolean has_no_route(const struct net_head *head, void *ctx)
+{
+	const struct srv_http *http = ctx;
+	const struct cfg_tables *tables = ent_tables(http->srv->ent);
+	g_autofree char *path = NULL;
+
+	if (!tables || srv_jobs_is_api_path(head->target))
+		return FALSE;
+	path = g_strndup(head->target, strcspn(head->target, "?"));
+	return !cfg_route_match(tables, head->method, head->host, path);
+}
+
 static void init_headers(struct srv_http *http)
 {
 	int i;
@@ -473,6 +485,7 @@
 		.refusal_headers = HEADER_OUTCOME ": not-run\r\n",
 		.on_request = on_request,
 		.on_open = on_open,
+		.has_no_route = has_no_route,
 		.ctx = http,
 	};
 
