net: bound the clients of the operator servers

The operator servers of the entry and the agent had limits for one request, but none for connections, slow senders or pipelined requests. They now use net/clients.c: the entry's with the account of its callers, the agent's with its own. net/operator.c holds the pages, since evhttp's own callbacks for paths bypass the module.

--- a/net/net.c
+++ b/net/net.c
@@ -8,11 +8,6 @@
 #include <sys/socket.h>
 #include <time.h>
 
-/* Limits for requests of operators; the size limit is for headers and for the
- * body, each. */
-#define OPERATOR_TIMEOUT_S 10
-#define OPERATOR_MAX_BYTES (16 * 1024)
-
 static const struct {
 	const char *name;
 	enum evhttp_cmd_type type;
@@ -115,34 +110,6 @@
 	evhttp_send_reply(req, status, NULL, NULL);
 }
 
-static void on_healthz(struct evhttp_request *req, void *ctx G_GNUC_UNUSED)
-{
-	net_send_text(req, 200, "text/plain", "ok\n", 3);
-}
-
-static void on_other(struct evhttp_request *req, void *ctx G_GNUC_UNUSED)
-{
-	static const char text[] = "expected /metrics, /healthz, /readyz or "
-				   "/status\n";
-
-	net_send_text(req, 404, "text/plain", text, strlen(text));
-}
-
-struct evhttp *net_operator_new(struct event_base *base)
-{
-	struct evhttp *http = evhttp_new(base);
-
-	if (!http)
-		return NULL;
-	evhttp_set_allowed_methods(http, EVHTTP_REQ_GET | EVHTTP_REQ_HEAD);
-	evhttp_set_max_headers_size(http, OPERATOR_MAX_BYTES);
-	evhttp_set_max_body_size(http, OPERATOR_MAX_BYTES);
-	evhttp_set_timeout(http, OPERATOR_TIMEOUT_S);
-	evhttp_set_cb(http, "/healthz", on_healthz, NULL);
-	evhttp_set_gencb(http, on_other, NULL);
-	return http;
-}
-
 void net_loop(struct event_base *base, unsigned interval_ms,
 	      event_callback_fn on_tick, event_callback_fn on_stop, void *ctx)
 {
--- a/net/net.h
+++ b/net/net.h
@@ -31,12 +31,6 @@
 /** TRUE if list, the value of a Connection header or NULL, has the name. */
 gboolean net_is_listed(const char *list, const char *name);
 
-/**
- * Returns an HTTP server for operators, or NULL; the caller adds the listener.
- * It answers /healthz, and 404 for paths without a callback.
- */
-struct evhttp *net_operator_new(struct event_base *base);
-
 /** Answers a request with a body of len bytes and content type type. */
 void net_send_text(struct evhttp_request *req, int status, const char *type,
 		   const char *text, size_t len);
--- a/radishpier-agent/operator.c
+++ b/radishpier-agent/operator.c
@@ -84,6 +84,7 @@
 		      "direction=\"in\"", ash->wire_in_bytes);
 	obs_count_set(ash->metrics, "radishpier_agent_wire_bytes_total",
 		      "direction=\"out\"", ash->wire_out_bytes);
+	net_account_update_metrics(ash->account, ash->metrics);
 	obs_metrics_print(ash->metrics, out);
 	net_send_text(req, HTTP_OK, "text/plain; version=0.0.4", out->str,
 		      out->len);
@@ -99,17 +100,17 @@
 	net_send_text(req, HTTP_OK, "application/json", out->str, out->len);
 }
 
-struct evhttp *ash_operator_new(struct ash *ash, int fd)
+struct net_operator *ash_operator_new(struct ash *ash, int fd)
 {
-	struct evhttp *http = net_operator_new(ash->base);
+	struct net_operator *server = net_operator_new(ash->base, ash->account,
+						       ash->metrics);
 
-	if (!http || evhttp_accept_socket(http, fd)) {
-		if (http)
-			evhttp_free(http);
+	if (evhttp_accept_socket(net_operator_http(server), fd)) {
+		net_operator_free(server);
 		return NULL;
 	}
-	evhttp_set_cb(http, "/readyz", on_readyz, ash);
-	evhttp_set_cb(http, "/metrics", on_metrics, ash);
-	evhttp_set_cb(http, "/status", on_status, ash);
-	return http;
+	net_operator_add(server, "/readyz", on_readyz, ash);
+	net_operator_add(server, "/metrics", on_metrics, ash);
+	net_operator_add(server, "/status", on_status, ash);
+	return server;
 }
--- a/radishpier-agent/shell.c
+++ b/radishpier-agent/shell.c
@@ -116,8 +116,9 @@
 {
 	struct ash *ash = data;
 	struct agt_event event = { .kind = AGT_EV_TICK };
-	gint64 now_ms;
+	gint64 now_ms = net_now_ms();
 
+	net_operator_tick(ash->operator_server, now_ms);
 	ash_event(ash, &event);
 	if (!ash->exit_deadline_ms)
 		return;
@@ -199,8 +200,8 @@
 
 int ash_run(const struct cfg_agent *settings, GError **error)
 {
+	static const struct net_process_limits limits;
 	struct ash ash = { .settings = settings };
-	struct evhttp *http = NULL;
 	int fd = ash_operator_listen(settings->operator_address, error);
 	int code = -1;
 
@@ -208,16 +209,17 @@
 		return -1;
 	signal(SIGPIPE, SIG_IGN);
 	ash.base = event_base_new();
+	ash.metrics = obs_metrics_new();
+	ash.account = net_process_account(&limits);
 	if (ash.base)
-		http = ash_operator_new(&ash, fd);
-	if (!http) {
+		ash.operator_server = ash_operator_new(&ash, fd);
+	if (!ash.operator_server) {
 		g_set_error(error, ASH_ERROR, ASH_ERROR_EVENT_LOOP,
 			    "the event loop cannot be started");
 		close(fd);
 		return -1;
 	}
 	ash.agt = reducer_new(settings);
-	ash.metrics = obs_metrics_new();
 	ash.conns = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					  ash_conn_free);
 	ash.pending_events = g_array_new(FALSE, FALSE,
@@ -229,7 +231,8 @@
 		net_loop(ash.base, TICK_MS, on_tick, on_signal, &ash);
 		code = ash.exit_code;
 	}
-	evhttp_free(http);
+	net_operator_free(ash.operator_server);
+	net_account_free(ash.account);
 	g_hash_table_destroy(ash.conns);
 	ash_http_free(ash.upstream);
 	ash_http_free(ash.worker);
--- a/radishpier-agent/shell.h
+++ b/radishpier-agent/shell.h
@@ -11,6 +11,7 @@
 #include "../agent/agent.h"
 #include "../config/config.h"
 #include "../net/net.h"
+#include "../net/operator.h"
 #include "../obs/obs.h"
 
 /*
@@ -36,6 +37,10 @@
 	struct event_base *base;
 	struct agt *agt;
 	struct obs_metrics *metrics;
+	/** What the clients of the operator server hold. */
+	struct net_account *account;
+	/** NULL if it cannot be started. */
+	struct net_operator *operator_server;
 	/** Bytes of frames, headers included, to and from entries. */
 	guint64 wire_in_bytes;
 	guint64 wire_out_bytes;
@@ -144,6 +149,6 @@
  */
 int ash_operator_listen(const char *address, GError **error);
 /** Takes over the socket; returns NULL, without closing it, on failure. */
-struct evhttp *ash_operator_new(struct ash *ash, int fd);
+struct net_operator *ash_operator_new(struct ash *ash, int fd);
 
 #endif
--- a/radishpier/srv.h
+++ b/radishpier/srv.h
@@ -288,5 +288,6 @@
 
 struct srv_ops *srv_ops_new(struct srv *srv, GError **error);
 void srv_ops_free(struct srv_ops *ops);
+void srv_ops_tick(struct srv_ops *ops, gint64 now_ms);
 
 #endif
--- a/radishpier/srv_ops.c
+++ b/radishpier/srv_ops.c
@@ -3,10 +3,11 @@
 #include <event2/http.h>
 
 #include "../net/net.h"
+#include "../net/operator.h"
 
 struct srv_ops {
 	struct srv *srv;
-	struct evhttp *evhttp;
+	struct net_operator *server;
 };
 
 /* Counters of struct kv_calls, with their names in metrics and status. */
@@ -225,10 +226,10 @@
 	struct evconnlistener *listener;
 
 	ops->srv = srv;
-	ops->evhttp = net_operator_new(srv->base);
-	evhttp_set_cb(ops->evhttp, "/metrics", on_metrics, ops);
-	evhttp_set_cb(ops->evhttp, "/readyz", on_readyz, ops);
-	evhttp_set_cb(ops->evhttp, "/status", on_status, ops);
+	ops->server = net_operator_new(srv->base, srv->account, srv->metrics);
+	net_operator_add(ops->server, "/metrics", on_metrics, ops);
+	net_operator_add(ops->server, "/readyz", on_readyz, ops);
+	net_operator_add(ops->server, "/status", on_status, ops);
 	listener = srv_listen(srv, "operator_address",
 			      srv->settings->operator_address, NULL, NULL,
 			      error);
@@ -236,12 +237,17 @@
 		srv_ops_free(ops);
 		return NULL;
 	}
-	evhttp_bind_listener(ops->evhttp, listener);
+	evhttp_bind_listener(net_operator_http(ops->server), listener);
 	return ops;
 }
 
 void srv_ops_free(struct srv_ops *ops)
 {
-	evhttp_free(ops->evhttp);
+	net_operator_free(ops->server);
 	g_free(ops);
 }
+
+void srv_ops_tick(struct srv_ops *ops, gint64 now_ms)
+{
+	net_operator_tick(ops->server, now_ms);
+}
--- a/radishpier/srv_run.c
+++ b/radishpier/srv_run.c
@@ -278,6 +278,7 @@
 	srv_jobs_tick(srv->jobs, now_ms);
 	srv_conns_tick(srv->conns, now_ms);
 	srv_http_tick(srv->http, now_ms);
+	srv_ops_tick(srv->ops, now_ms);
 	check_drain(srv, now_ms);
 }
 
