cell: bound the frames held for peers that do not read or are unknown

Each connection could have 8 MiB unsent, and a leader has one for each agent: more than the memory of an entry. Frames are now also dropped when all connections together have 32 MiB unsent, on those with more than 512 KiB. A peer that has not identified itself could make a process hold 2 MiB on each of 32 connections; a first frame above 64 KiB, which no leader sends, now closes its connection. New metrics: radishpier_frames_unsent_bytes, radishpier_frames_dropped_total.

A high watermark was tried first: libevent 2.1 calls the read callback without pause while the buffer is full and reading is enabled.

--- a/cell/conn.c
+++ b/cell/conn.c
@@ -18,14 +18,30 @@
  */
 #define MAX_UNSENT_BYTES (8 * 1024 * 1024)
 
+/** Unsent bytes of all connections of the process above which frames are
+ * dropped on connections with more than MIN_UNSENT_BYTES: a leader has one for
+ * each agent, and 8 MiB for each would exceed its memory. */
+#define MAX_TOTAL_UNSENT_BYTES (32 * 1024 * 1024)
+#define MIN_UNSENT_BYTES (512 * 1024)
+
+/** A peer that has not identified itself is disconnected with a longer frame;
+ * the first frame has a few hundred bytes. */
+#define MAX_UNIDENTIFIED_BYTES (64 * 1024)
+
 G_DEFINE_QUARK(cell_error_quark, cell_error)
 
+/** Of all connections of the process. */
+static gsize total_unsent;
+static guint64 frames_dropped;
+
 struct cell_conn {
 	struct bufferevent *bev;
 	const struct cell_conn_handler *handler;
 	void *ctx;
 	gint64 last_received_ms;
 	gboolean closed;
+	/** Accepted, and the peer has not identified itself. */
+	gboolean unidentified;
 	/** The outgoing connection was refused: nothing listens there. */
 	gboolean refused;
 	/** Calls of the handler in progress; a closed connection is freed when
@@ -33,8 +49,21 @@
 	guint handler_depth;
 };
 
+static void on_output(struct evbuffer *output G_GNUC_UNUSED,
+		      const struct evbuffer_cb_info *info,
+		      void *arg G_GNUC_UNUSED)
+{
+	total_unsent += info->n_added;
+	total_unsent -= info->n_deleted;
+}
+
 static void destroy(struct cell_conn *conn)
 {
+	struct evbuffer *output = bufferevent_get_output(conn->bev);
+
+	/* Freeing the buffer does not call on_output(). */
+	evbuffer_remove_cb(output, on_output, conn);
+	total_unsent -= evbuffer_get_length(output);
 	bufferevent_free(conn->bev);
 	g_free(conn);
 }
@@ -91,6 +120,11 @@
 			conn->handler->on_frame(conn->ctx, conn, frame);
 		wire_frame_free(frame);
 	}
+	if (!conn->closed && conn->unidentified &&
+	    evbuffer_get_length(input) > MAX_UNIDENTIFIED_BYTES) {
+		g_warning("connection closed: the first frame is too long");
+		fail(conn, "the first frame is too long");
+	}
 	leave_handler(conn);
 }
 
@@ -126,6 +160,7 @@
 	conn->ctx = ctx;
 	conn->last_received_ms = net_now_ms();
 	bufferevent_setcb(bev, on_read, NULL, on_event, conn);
+	evbuffer_add_cb(bufferevent_get_output(bev), on_output, conn);
 	bufferevent_enable(bev, EV_READ | EV_WRITE);
 	return conn;
 }
@@ -167,6 +202,7 @@
 {
 	struct bufferevent *bev = bufferevent_socket_new(
 		base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+	struct cell_conn *conn;
 	int one = 1;
 
 	if (!bev) {
@@ -174,7 +210,32 @@
 		return NULL;
 	}
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
-	return conn_new(bev, handler, ctx);
+	conn = conn_new(bev, handler, ctx);
+	conn->unidentified = TRUE;
+	return conn;
+}
+
+void cell_conn_set_identified(struct cell_conn *conn)
+{
+	conn->unidentified = FALSE;
+}
+
+/* TRUE if a further frame is to be dropped, since the peer does not read. */
+static gboolean is_full(struct evbuffer *output)
+{
+	gsize unsent = evbuffer_get_length(output);
+
+	return unsent > MAX_UNSENT_BYTES ||
+	       (total_unsent > MAX_TOTAL_UNSENT_BYTES &&
+		unsent > MIN_UNSENT_BYTES);
+}
+
+void cell_conn_update_metrics(struct obs_metrics *metrics)
+{
+	obs_gauge(metrics, "radishpier_frames_unsent_bytes", NULL,
+		  (double)total_unsent);
+	obs_count_set(metrics, "radishpier_frames_dropped_total", NULL,
+		      frames_dropped);
 }
 
 void cell_conn_send(struct cell_conn *conn, const struct Rp__Frame *frame)
@@ -184,11 +245,17 @@
 
 	if (conn->closed)
 		return;
-	if (evbuffer_get_length(output) > MAX_UNSENT_BYTES)
-		g_warning("%s frame dropped: the peer does not read",
-			  wire_frame_name(frame));
-	else if (wire_write(output, frame, &error) < 0)
+	if (is_full(output)) {
+		frames_dropped++;
+		g_warning("%s frame dropped: the peer does not read, "
+			  "%" G_GSIZE_FORMAT
+			  " bytes are unsent, %" G_GSIZE_FORMAT
+			  " on all connections",
+			  wire_frame_name(frame), evbuffer_get_length(output),
+			  total_unsent);
+	} else if (wire_write(output, frame, &error) < 0) {
 		g_warning("frame dropped: %s", error->message);
+	}
 }
 
 void cell_conn_send_heartbeat(struct cell_conn *conn,
--- a/cell/entry.c
+++ b/cell/entry.c
@@ -712,6 +712,7 @@
 		      "kind=\"keepalive\"", calls->lease_keepalives);
 	obs_count_set(metrics, "radishpier_kv_failures_total", NULL,
 		      calls->failures);
+	cell_conn_update_metrics(metrics);
 	if (entry->leading)
 		cell_lead_update_metrics(entry->lead);
 }
--- a/cell/follow.c
+++ b/cell/follow.c
@@ -44,6 +44,7 @@
 		g_message("accepted leader %s with fencing token "
 			  "%" G_GUINT64_FORMAT,
 			  frame->leader_hello->entry, fencing_token);
+		cell_conn_set_identified(conn);
 		leader_conn->conn = conn;
 		leader_conn->fencing_token = fencing_token;
 		g_free(leader_conn->address);
--- a/cell/internal.h
+++ b/cell/internal.h
@@ -44,10 +44,15 @@
 struct cell_conn *cell_conn_dial(struct event_base *base, const char *address,
 				 const struct cell_conn_handler *handler,
 				 void *ctx);
-/** Takes over the accepted socket fd; returns NULL on failure. */
+/** Takes over the accepted socket fd; returns NULL on failure. A frame above
+ * 64 KiB closes the connection before cell_conn_set_identified(). */
 struct cell_conn *cell_conn_accept(struct event_base *base, evutil_socket_t fd,
 				   const struct cell_conn_handler *handler,
 				   void *ctx);
+/** Frames up to the maximum size can be received from now on. */
+void cell_conn_set_identified(struct cell_conn *conn);
+/** Sets the metrics of all connections of the process. */
+void cell_conn_update_metrics(struct obs_metrics *metrics);
 /** Sends a frame, or drops it with a warning if the peer does not read. */
 void cell_conn_send(struct cell_conn *conn, const struct Rp__Frame *frame);
 /** What a heartbeat tells besides the fencing token; see NodeBeat. */
