net: refuse a chunk line without an end

A chunk's line has no limit in evhttp, which waits for its end. A connection whose buffer is full at its higher limit is now refused with 413.

--- a/net/clients.c
+++ b/net/clients.c
@@ -14,7 +14,9 @@
  * not read while a request is handled or its response is being written. But it
  * reads up to 16 KiB for each request, however short, and needs a whole body in
  * its input buffer. So the input buffer has a high watermark, which is low
- * unless a body needs more.
+ * unless a body needs more. libevent calls the read callback without pause
+ * while the buffer is full and reading is enabled, so a full buffer has to be
+ * dealt with at once.
  */
 
 /** Watermark of the input buffer above the limit of the header section, so that
@@ -70,12 +72,15 @@
 	gsize request_len;
 	/** The input buffer may hold a whole body. */
 	gboolean raised;
+	gsize watermark;
 	/** In clients->full. */
 	gboolean full;
 	/** To be closed by on_check(). */
 	gboolean closing;
 	/** To be refused with 404 then; its input is discarded. */
 	gboolean no_route;
+	/** To be refused with 413 then: a chunk's line without an end. */
+	gboolean too_long;
 	/** Status of a refusal by evhttp itself, or 0. */
 	guint refusal;
 	/** on_output() is changing the buffer. */
@@ -192,6 +197,7 @@
 	if (raised)
 		bytes += clients->options.max_body_bytes;
 	client->raised = raised;
+	client->watermark = bytes;
 	bufferevent_setwatermark(client->bev, EV_READ, 0, bytes);
 }
 
@@ -300,8 +306,7 @@
 	if (client->state == STATE_HEADER || client->state == STATE_BODY)
 		client->request_len += info->n_deleted;
 	count_bytes(client);
-	if (len >= pipeline_bytes(clients) && !client->raised &&
-	    !client->full) {
+	if (len >= client->watermark && !client->full) {
 		client->full = TRUE;
 		g_ptr_array_add(clients->full, client);
 		schedule_check(clients);
@@ -475,6 +480,11 @@
 			refuse_and_close(client, "404 Not Found");
 			continue;
 		}
+		if (client->too_long) {
+			report(client, "body");
+			refuse_and_close(client, "413 Content Too Large");
+			continue;
+		}
 		report(client, net_excess_name(NET_EXCESS_HOLDERS));
 		evhttp_connection_free(client->evcon);
 	}
@@ -492,11 +502,17 @@
 		struct evbuffer *input = bufferevent_get_input(client->bev);
 
 		client->full = FALSE;
-		/* evhttp has processed what is there and needs more. */
-		if (evbuffer_get_length(input) >= pipeline_bytes(clients) &&
-		    (client->state == STATE_HEADER ||
-		     client->state == STATE_BODY))
+		/* If evhttp has processed what is there and needs more. */
+		if (evbuffer_get_length(input) < client->watermark ||
+		    (client->state != STATE_HEADER &&
+		     client->state != STATE_BODY))
+			continue;
+		if (!client->raised) {
 			set_watermark(client, TRUE);
+		} else {
+			client->too_long = TRUE;
+			close_later(client);
+		}
 	}
 	g_ptr_array_set_size(clients->full, 0);
 	close_noted(clients);
--- a/net/clients_test.c
+++ b/net/clients_test.c
@@ -275,6 +275,28 @@
 }
 END_TEST
 
+/* Guards against a chunk's line without an end, with which the server would
+ * hold a whole body's size or be busy without pause. */
+START_TEST(test_endless_chunk_line)
+{
+	static const char head[] = "POST /a HTTP/1.1\r\nHost: h\r\n"
+				   "Transfer-Encoding: chunked\r\n\r\n5;";
+	g_autofree char *extension = g_strnfill(2 * MAX_BODY, 'x');
+	g_autoptr(GString) out = g_string_new(NULL);
+	int fd;
+
+	setup(1 << 20);
+	fd = dial();
+	ck_assert(send_text(fd, head, sizeof(head) - 1));
+	send_text(fd, extension, 2 * MAX_BODY);
+	ck_assert(receive(fd, out, NULL, 0));
+	ck_assert_uint_eq(requests, 0);
+	ck_assert_uint_eq(net_clients_count(clients), 0);
+	close(fd);
+	teardown();
+}
+END_TEST
+
 /* Guards against a body being received whose path has no route, and against a
  * connection being closed for a small one. */
 START_TEST(test_no_route)
@@ -415,6 +437,7 @@
 	tcase_add_test(tcase, test_pipelined);
 	tcase_add_test(tcase, test_largest_header);
 	tcase_add_loop_test(tcase, test_body_too_large, 0, 3);
+	tcase_add_test(tcase, test_endless_chunk_line);
 	tcase_add_test(tcase, test_no_route);
 	tcase_add_test(tcase, test_head);
 	tcase_add_loop_test(tcase, test_slow, 0, 3);
