--- a/cell/entry.c
+++ b/cell/entry.c
@@ -780,6 +780,7 @@
 		      calls->probes);
 	obs_count_set(metrics, "radishpier_kv_failures_total", NULL,
 		      calls->failures);
+	cell_conn_update_metrics(metrics);
 	if (entry->leading)
 		cell_lead_update_metrics(entry->lead);
 }
--- a/radishpier/srv_run.c
+++ b/radishpier/srv_run.c
@@ -282,6 +282,7 @@
 	srv_jobs_tick(srv->jobs, now_ms);
 	srv_conns_tick(srv->conns, now_ms);
 	srv_http_tick(srv->http, now_ms);
+	srv_ops_tick(srv->ops, now_ms);
 	check_drain(srv, now_ms);
 }
 
@@ -345,6 +346,9 @@
 				       .zone = settings->zone,
 				       .agent_address = settings->agent_address,
 				       .wait_for_evacuations = TRUE };
+	const struct net_process_limits limits = {
+		.memory_bytes = (guint64)settings->memory_limit_bytes,
+	};
 	g_autofree char *boot_id = read_boot_id();
 	g_autofree char *instance = g_uuid_string_random();
 	guint32 seed;
@@ -365,6 +369,7 @@
 		return -1;
 	}
 	srv->metrics = obs_metrics_new();
+	srv->account = net_process_account(&limits);
 	srv->effects = ent_effects_new();
 	srv->pending_events = g_array_new(FALSE, FALSE,
 					  sizeof(struct ent_event));
@@ -396,6 +401,7 @@
 		srv_store_free(srv->store);
 	if (srv->ops)
 		srv_ops_free(srv->ops);
+	net_account_free(srv->account);
 	if (srv->jobs)
 		srv_jobs_free(srv->jobs);
 	if (srv->ent)
