agent, radishpier: evacuations in the tests of frames and orders

Change: the random test of the agent sends it evacuations, also older ones, and checks that no request is forwarded and no start is sent to the worker while its zone is evacuated. The tests of misplaced and stray frames have EvacuationUpdate.

--- a/agent/agent_random_test.c
+++ b/agent/agent_random_test.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "agent/agent.h"
+#include "evac/evac.h"
 #include "tests/fixture.h"
 
 /* Number of random steps per seed. */
@@ -84,6 +85,9 @@
 static GHashTable *call_of;
 static guint64 next_request;
 static guint64 term = 1;
+/* Generation of the evacuations, and whether they have the agent's zone. */
+static guint64 evacuations;
+static gboolean evacuated;
 /* Not-run replies, then effects by kind. */
 static guint64 counts[32];
 
@@ -162,6 +166,9 @@
 		guint64 id;
 
 		counts[1 + e->kind]++;
+		ck_assert_msg(!evacuated || (e->kind != AGT_FX_FORWARD &&
+					     e->kind != AGT_FX_WORKER_START),
+			      "work begins in an evacuated zone");
 		if (e->kind == AGT_FX_SEND) {
 			check_frame(e);
 		} else if (e->kind == AGT_FX_DIAL) {
@@ -417,6 +424,50 @@
 	deliver(some_conn(), frame);
 }
 
+static guint64 evacuations_in_force(void)
+{
+	static const char key[] = "\"evacuations_generation\":";
+	g_autoptr(GString) status = g_string_new(NULL);
+
+	agt_status_json(agt, status);
+	return g_ascii_strtoull(strstr(status->str, key) + strlen(key), NULL,
+				10);
+}
+
+/*
+ * Sends the next generation of the evacuations, or an older one. The agent
+ * ignores it if it has closed the connection.
+ */
+static void send_evacuations(void)
+{
+	struct evac_zone zone = { .zone = (char *)(pick(3) ? "b" : "a"),
+				  .author = (char *)"ana",
+				  .reason = (char *)"test" };
+	struct evac *none = evac_new();
+	struct evac *evac = evac_begin(none, &zone, NULL);
+	gboolean was_evacuated = evacuated;
+	g_autoptr(GBytes) document = NULL;
+	guint64 generation;
+
+	if (evacuations && !pick(4)) {
+		evac->generation = evacuations - (guint64)pick(2);
+		evac->generation = MAX(evac->generation, 1);
+	} else {
+		evac->generation = ++evacuations;
+	}
+	/* The event that ends an evacuation may start work. */
+	evacuated &= *zone.zone == 'a';
+	document = evac_encode(evac);
+	generation = evacuations_in_force();
+	deliver(some_conn(), wire_evacuation_update_new(document, TRUE, 0));
+	if (evacuations_in_force() != generation)
+		evacuated = *zone.zone == 'a';
+	else
+		evacuated = was_evacuated;
+	evac_free(evac);
+	evac_free(none);
+}
+
 static void send_request_frame(void)
 {
 	struct Rp__Frame *frame;
@@ -505,6 +556,7 @@
 	static const char *const entries[] = { "10.0.0.1:1", "10.0.0.2:1" };
 	struct agt_options options = {
 		.vm = "v1",
+		.zone = "a",
 		.pools = pools,
 		.n_pools = 2,
 		.slots = SLOTS,
@@ -556,6 +608,8 @@
 	g_array_set_size(dialled, 0);
 	g_array_set_size(open_conns, 0);
 	g_array_set_size(calls, 0);
+	evacuations = 0;
+	evacuated = FALSE;
 	agt = agent_new();
 }
 
@@ -610,6 +664,8 @@
 		answer_grant();
 	else if (choice < 950)
 		change_task();
+	else if (choice < 952 && open_conns->len)
+		send_evacuations();
 	else if (choice < 995)
 		change_connections();
 	else if (choice < 996)
@@ -624,8 +680,9 @@
 
 /*
  * Rare orders of events, such as a fence while the outcome of a start is not
- * known, could let a job run twice or without a grant, exceed the VM's capacity
- * or give a false not-run reply. The checks follow each event.
+ * known, could let a job run twice or without a grant, exceed the VM's
+ * capacity, begin work in an evacuated zone or give a false not-run reply. The
+ * checks follow each event.
  */
 START_TEST(test_random_events)
 {
--- a/radishpier/srv_wire_test.c
+++ b/radishpier/srv_wire_test.c
@@ -135,6 +135,8 @@
 	{ SENDER_NEW, RP__FRAME__BODY_GRANT, "first frame is grant," },
 	{ SENDER_NEW, RP__FRAME__BODY_PEER_CALL, "first frame is peer_call" },
 	{ SENDER_NEW, RP__FRAME__BODY_TABLES_UPDATE, "first frame is tables" },
+	{ SENDER_NEW, RP__FRAME__BODY_EVACUATION_UPDATE,
+	  "first frame is evacuation_update" },
 	{ SENDER_NEW, RP__FRAME__BODY_HELLO, "unexpected Hello of VM" },
 	{ SENDER_NEW, RP__FRAME__BODY_PEER_HELLO, "unexpected PeerHello" },
 	{ SENDER_AGENT, RP__FRAME__BODY_GRANT, "unexpected grant" },
@@ -201,6 +203,7 @@
 	  "radishpier_replies_dropped_total" },
 	{ SENDER_AGENT, RP__FRAME__BODY_TABLES_UPDATE,
 	  "radishpier_tables_refused_total{reason=\"invalid\"}" },
+	{ SENDER_AGENT, RP__FRAME__BODY_EVACUATION_UPDATE, NULL },
 	{ SENDER_AGENT, RP__FRAME__BODY_REPORT, NULL },
 	{ SENDER_AGENT, RP__FRAME__BODY_TASK_LIST, NULL },
 	{ SENDER_AGENT, RP__FRAME__BODY_GRANT_REQUEST, NULL },
@@ -208,6 +211,7 @@
 	  "radishpier_tables_refused_total{reason=\"invalid\"}" },
 	{ SENDER_PEER, RP__FRAME__BODY_TABLES_DELTA,
 	  "radishpier_tables_refused_total{reason=\"older\"}" },
+	{ SENDER_PEER, RP__FRAME__BODY_EVACUATION_UPDATE, NULL },
 	{ SENDER_PEER, RP__FRAME__BODY_PEER_STATE, NULL },
 	{ SENDER_PEER, RP__FRAME__BODY_PEER_CALL, NULL },
 	{ SENDER_PEER, RP__FRAME__BODY_PEER_REPLY, NULL },
@@ -215,14 +219,15 @@
 
 /*
  * Guards against a frame without a matching request, job or document that
- * changes tables, jobs or requests, or stops the entry.
+ * changes tables, evacuations, jobs or requests, or stops the entry.
  */
 START_TEST(stray_frame)
 {
-	static const char *const unchanged[] = { "radishpier_tables_generation",
-						 "radishpier_jobs",
-						 "radishpier_shards_owned",
-						 "radishpier_requests_open" };
+	static const char *const unchanged[] = {
+		"radishpier_tables_generation",
+		"radishpier_evacuations_generation", "radishpier_jobs",
+		"radishpier_shards_owned", "radishpier_requests_open"
+	};
 	double before[G_N_ELEMENTS(unchanged)];
 	struct evbuffer *in = evbuffer_new();
 	double count = stray[_i].counter ? metric(stray[_i].counter) : 0;
