--- a/agent/agent_random_test.c
+++ b/agent/agent_random_test.c
@@ -424,7 +424,20 @@
 	deliver(some_conn(), frame);
 }
 
-/* Sends the next generation of the evacuations, or an older one. */
+static guint64 evacuations_in_force(void)
+{
+	static const char key[] = "\"evacuations_generation\":";
+	g_autoptr(GString) status = g_string_new(NULL);
+
+	agt_status_json(agt, status);
+	return g_ascii_strtoull(strstr(status->str, key) + strlen(key), NULL,
+				10);
+}
+
+/*
+ * Sends the next generation of the evacuations, or an older one. The agent
+ * ignores it if it has closed the connection.
+ */
 static void send_evacuations(void)
 {
 	struct evac_zone zone = { .zone = (char *)(pick(3) ? "b" : "a"),
@@ -432,17 +445,25 @@
 				  .reason = (char *)"test" };
 	struct evac *none = evac_new();
 	struct evac *evac = evac_begin(none, &zone, NULL);
+	gboolean was_evacuated = evacuated;
 	g_autoptr(GBytes) document = NULL;
+	guint64 generation;
 
 	if (evacuations && !pick(4)) {
 		evac->generation = evacuations - (guint64)pick(2);
 		evac->generation = MAX(evac->generation, 1);
 	} else {
 		evac->generation = ++evacuations;
-		evacuated = *zone.zone == 'a';
 	}
+	/* The event that ends an evacuation may start work. */
+	evacuated &= *zone.zone == 'a';
 	document = evac_encode(evac);
+	generation = evacuations_in_force();
 	deliver(some_conn(), wire_evacuation_update_new(document, TRUE, 0));
+	if (evacuations_in_force() != generation)
+		evacuated = *zone.zone == 'a';
+	else
+		evacuated = was_evacuated;
 	evac_free(evac);
 	evac_free(none);
 }
