cell: move the leader's transactions into a file of their own

Change: the transactions move to cell/commit.c, and the state that both files use to cell/store_internal.h. Code is moved only; the functions that are now called across files have the prefix cell_store_. The functions of the watches stay where they are.

--- a/cell/store.c
+++ b/cell/store.c
@@ -1,4 +1,4 @@
-#include "internal.h"
+#include "store_internal.h"
 
 /*
  * Leader election and records in the key-value store.
@@ -37,152 +37,6 @@
  * counts as unreachable. */
 #define REACHABLE_MS 1500
 
-/** Delay after a failed call. */
-#define RETRY_MS 60
-
-enum store_state {
-	STORE_FOLLOWING,
-	/** A lease or the leader's key is being requested. */
-	STORE_CAMPAIGNING,
-	/** Elected; the records are being read. */
-	STORE_LOADING,
-	/** Elected, with all records read. */
-	STORE_LEADING,
-};
-
-/** Keys that the leader watches. */
-enum watched {
-	WATCH_TABLES,
-	WATCH_NODES,
-	N_WATCHES,
-};
-
-struct store_watch {
-	struct cell_store *store;
-	enum watched what;
-	/** NULL if none is active. */
-	struct kv_watch *watch;
-	/** The read that precedes the watch is in flight. */
-	gboolean reading;
-	/** The keys were read, and the watch was started. */
-	gboolean read;
-	/** The keys are not read before this time. */
-	gint64 next_ms;
-	/** All changes up to this time of the boot clock were delivered, if no
-	 * later time is known to the watch; 0 before the first read. */
-	gint64 current_ms;
-};
-
-struct cell_store {
-	struct event_base *base;
-	struct kv *kv;
-	char *name;
-	char *tables_key;
-	struct cell_store_handler handler;
-	enum store_state state;
-	gint64 now_ms;
-	/** The leader's key or the records are not read before this time. */
-	gint64 next_ms;
-	/** Value of the leader's key in the last candidacy; unique, so that a
-	 * candidacy without answer can be recognised. */
-	char *candidacy;
-	/** Store lease of the leader's key; 0 for none. */
-	gint64 lease;
-	/** Revision at which this process created the leader's key. */
-	gint64 fencing_token;
-	/** Fencing token of a leader whose process has ended; 0 for none. */
-	gint64 ended_token;
-	/** Revision and last number of the commit key. */
-	gint64 commit_revision;
-	guint64 commit_number;
-	/** Transaction to be committed, with its conditions; NULL for none. */
-	struct kv_txn *txn;
-	/** The transaction, or the check of its outcome, is in flight. */
-	gboolean txn_sent;
-	gint64 txn_next_ms;
-	/** How late its answer is, and whether its outcome is being read. */
-	struct cell_late late;
-	gboolean looking_up;
-	/** A call of the election or the read of the records is in flight. */
-	gboolean busy;
-	/** The leader's key was absent when last read, for long enough. */
-	gboolean may_campaign;
-	/** Since when the leader's key was absent at each read; 0 if it was
-	 * there at the last. */
-	gint64 absent_since_ms;
-	/** What decides how soon this process seeks to lead. */
-	struct cell_candidacy rank;
-	/** When a read of the leader's key was last answered. */
-	gint64 key_read_ms;
-	/** The store refused the last read of the leader's key. */
-	gboolean key_read_refused;
-	/** Since when the store has refused all answered calls of this leader;
-	 * 0 if it did not refuse the last. */
-	gint64 refused_since_ms;
-	/** Time of the first tick. */
-	gint64 started_ms;
-	/** Time of the next lease renewal. */
-	gint64 renew_ms;
-	/** A leadership confirmation is in flight. */
-	gboolean confirming;
-	/** Time of the next leadership confirmation. */
-	gint64 confirm_ms;
-	gint64 confirm_sent_ms;
-	/** Leadership is given up once no transaction is in flight; it is not
-	 * sought again if this process is resigning. */
-	gboolean resigning;
-	gboolean handing_over;
-	/** Counts the calls of depose() that took effect: answers to calls sent
-	 * before the last one are ignored. */
-	guint depositions;
-	/** Contexts of calls in flight; owned. */
-	GHashTable *open_calls;
-	struct store_watch watches[N_WATCHES];
-};
-
-/** Context of a call to the key-value store. */
-struct call_ctx {
-	struct cell_store *store;
-	/** Value of store->depositions when the call was sent. */
-	guint depositions;
-	gint64 sent_ms;
-	/** Of a transaction of the leader, or of a read of its outcome. */
-	guint64 commit_number;
-	/** The watch that the call reads for, or NULL. */
-	struct store_watch *watch;
-};
-
-static struct call_ctx *call_ctx_new(struct cell_store *store)
-{
-	struct call_ctx *ctx = g_new0(struct call_ctx, 1);
-
-	ctx->store = store;
-	ctx->depositions = store->depositions;
-	ctx->sent_ms = store->now_ms;
-	ctx->commit_number = store->commit_number;
-	g_hash_table_add(store->open_calls, ctx);
-	return ctx;
-}
-
-/* Removes the call from those in flight; TRUE if depose() took effect since it
- * was sent, so its answer must be ignored. */
-static gboolean end_call(struct call_ctx *ctx)
-{
-	g_hash_table_steal(ctx->store->open_calls, ctx);
-	return ctx->depositions != ctx->store->depositions;
-}
-
-/* Notes whether the store refused a call of this leader. A call without an
- * answer tells nothing. */
-static void note_refusal(struct cell_store *store, const GError *error)
-{
-	if (!error)
-		store->refused_since_ms = 0;
-	else if (g_error_matches(error, KV_ERROR, KV_ERROR_UNAVAILABLE) &&
-		 !store->refused_since_ms)
-		store->refused_since_ms = store->now_ms;
-}
-
 static void stop_watches(struct cell_store *store)
 {
 	size_t i;
@@ -200,7 +54,7 @@
 	}
 }
 
-static void depose(struct cell_store *store, const char *why)
+void cell_store_depose(struct cell_store *store, const char *why)
 {
 	gboolean was_elected = store->state == STORE_LOADING ||
 			       store->state == STORE_LEADING;
@@ -461,7 +315,7 @@
 		return;
 	note_refusal(store, error);
 	if (g_error_matches(error, KV_ERROR, KV_ERROR_NO_LEASE))
-		depose(store, "its lease has expired");
+		cell_store_depose(store, "its lease has expired");
 	else if (error)
 		g_info("lease of the leader's key not renewed: %s",
 		       error->message);
@@ -484,8 +338,8 @@
 	}
 	pair = pairs->len ? pairs->pdata[0] : NULL;
 	if (!pair || pair->mod_revision != store->fencing_token) {
-		depose(store,
-		       pair ? "another process leads" : "its key was removed");
+		cell_store_depose(store, pair ? "another process leads"
+					      : "its key was removed");
 		return;
 	}
 	store->key_read_ms = store->now_ms;
@@ -512,159 +366,6 @@
 	}
 }
 
-static char *commit_value(const struct cell_store *store)
-{
-	return g_strdup_printf("%" G_GINT64_FORMAT " %" G_GUINT64_FORMAT,
-			       store->fencing_token, store->commit_number);
-}
-
-static void finish_commit(struct cell_store *store, gint64 revision)
-{
-	kv_txn_free(store->txn);
-	store->txn = NULL;
-	store->txn_sent = FALSE;
-	cell_late_lost(&store->late);
-	store->commit_revision = revision;
-	store->handler.on_committed(store->handler.ctx, (guint64)revision);
-}
-
-/* TRUE if the call is of the transaction that is to be committed. The outcome
- * of an earlier one may have been looked up before its answer came. */
-static gboolean is_of_txn(const struct call_ctx *ctx)
-{
-	return ctx->store->txn &&
-	       ctx->commit_number == ctx->store->commit_number;
-}
-
-/* Returns the revision at which the transaction took effect, or 0 if the commit
- * key has the number of another one. */
-static gint64 revision_of_txn(const struct cell_store *store,
-			      const GPtrArray *pairs)
-{
-	g_autofree char *value = commit_value(store);
-	const struct kv_pair *pair = pairs->len ? pairs->pdata[0] : NULL;
-	const char *data;
-	gsize len;
-
-	if (!pair)
-		return 0;
-	data = g_bytes_get_data(pair->value, &len);
-	if (len != strlen(value) || memcmp(data, value, len) != 0)
-		return 0;
-	return pair->mod_revision;
-}
-
-/* Checks why the comparisons of the transaction failed: an earlier send of it
- * took effect, or this process is no longer the leader. */
-static void on_commit_key_read(void *arg, const GPtrArray *pairs,
-			       gint64 revision G_GNUC_UNUSED,
-			       const GError *error)
-{
-	g_autofree struct call_ctx *ctx = arg;
-	struct cell_store *store = ctx->store;
-	gint64 took_effect_at;
-
-	if (end_call(ctx) || !is_of_txn(ctx))
-		return;
-	if (error) {
-		store->txn_sent = FALSE;
-		store->txn_next_ms = store->now_ms + RETRY_MS;
-		return;
-	}
-	took_effect_at = revision_of_txn(store, pairs);
-	if (took_effect_at)
-		finish_commit(store, took_effect_at);
-	else
-		depose(store, "the conditions of its transaction failed");
-}
-
-static void on_looked_up(void *arg, const GPtrArray *pairs,
-			 gint64 revision G_GNUC_UNUSED, const GError *error)
-{
-	g_autofree struct call_ctx *ctx = arg;
-	struct cell_store *store = ctx->store;
-	gint64 took_effect_at;
-
-	if (end_call(ctx))
-		return;
-	store->looking_up = FALSE;
-	if (error || !is_of_txn(ctx))
-		return;
-	/* One that has not taken effect may still do so. */
-	took_effect_at = revision_of_txn(store, pairs);
-	if (!took_effect_at)
-		return;
-	g_info("transaction %" G_GUINT64_FORMAT " took effect, its answer is "
-	       "%" G_GINT64_FORMAT " ms late",
-	       store->commit_number, store->now_ms - store->late.sent_ms);
-	finish_commit(store, took_effect_at);
-}
-
-/* Looks up the outcome of the transaction if its answer is late. */
-static void look_up_txn(struct cell_store *store)
-{
-	if (!store->txn || store->looking_up ||
-	    !cell_late_take(&store->late, store->now_ms))
-		return;
-	store->looking_up = TRUE;
-	store->kv->ops->range(store->kv, CELL_COMMIT_KEY, TRUE, 0, on_looked_up,
-			      call_ctx_new(store));
-}
-
-static void on_txn(void *arg, const struct kv_txn_result *result,
-		   const GError *error)
-{
-	g_autofree struct call_ctx *ctx = arg;
-	struct cell_store *store = ctx->store;
-
-	if (end_call(ctx) || !is_of_txn(ctx))
-		return;
-	note_refusal(store, error);
-	if (!error)
-		cell_late_answered(&store->late, store->now_ms);
-	if (error) {
-		g_info("transaction %" G_GUINT64_FORMAT
-		       " will be sent again: %s",
-		       store->commit_number, error->message);
-		store->txn_sent = FALSE;
-		store->txn_next_ms = store->now_ms + RETRY_MS;
-	} else if (result->succeeded) {
-		finish_commit(store, result->revision);
-	} else {
-		store->kv->ops->range(store->kv, CELL_COMMIT_KEY, TRUE, 0,
-				      on_commit_key_read, call_ctx_new(store));
-	}
-}
-
-static void send_txn(struct cell_store *store)
-{
-	if (!store->txn || store->txn_sent ||
-	    store->now_ms < store->txn_next_ms)
-		return;
-	store->txn_sent = TRUE;
-	cell_late_sent(&store->late, store->now_ms);
-	store->kv->ops->txn(store->kv, store->txn, on_txn, call_ctx_new(store));
-}
-
-void cell_store_commit(struct cell_store *store, struct kv_txn *txn)
-{
-	g_autofree char *text = NULL;
-	g_autoptr(GBytes) value = NULL;
-
-	g_assert(store->state == STORE_LEADING && !store->txn);
-	store->commit_number++;
-	text = commit_value(store);
-	value = g_bytes_new(text, strlen(text));
-	kv_txn_compare(txn, CELL_LEADER_KEY, KV_COMPARE_MOD_REVISION,
-		       store->fencing_token);
-	kv_txn_compare(txn, CELL_COMMIT_KEY, KV_COMPARE_MOD_REVISION,
-		       store->commit_revision);
-	kv_txn_put(txn, CELL_COMMIT_KEY, value, 0);
-	store->txn = txn;
-	store->txn_next_ms = 0;
-	send_txn(store);
-}
-
 static void deliver_change(struct store_watch *watch,
 			   const struct kv_pair *pair)
 {
@@ -807,7 +508,7 @@
 
 void cell_store_step_down(struct cell_store *store)
 {
-	depose(store, "a leader elected later has connected");
+	cell_store_depose(store, "a leader elected later has connected");
 }
 
 void cell_store_leader_ended(struct cell_store *store, guint64 fencing_token)
@@ -864,7 +565,8 @@
 	 * leader finds in the records whether it took effect. */
 	if (store->txn && (store->txn_sent || !store->refused_since_ms))
 		return;
-	depose(store, store->resigning ? "it resigned" : "it handed over");
+	cell_store_depose(store,
+			  store->resigning ? "it resigned" : "it handed over");
 	store->kv->ops->lease_revoke(store->kv, lease, on_revoked, NULL);
 }
 
@@ -899,8 +601,8 @@
 		maintain_leadership(store);
 		if (store->state != STORE_LEADING)
 			break;
-		send_txn(store);
-		look_up_txn(store);
+		cell_store_send_txn(store);
+		cell_store_look_up_txn(store);
 		for (i = 0; i < N_WATCHES; i++)
 			read_watched_keys(&store->watches[i]);
 		break;
