bench: loads with insufficient capacity in the simulation of step jobs

Cause: bench_steps has batch tasks of 3.5 CPUs beside services whose load hardly changes, so a change for wide best-effort jobs cannot be judged by it. The loads of bench_steps are as before.

--- a/bench/steps.c
+++ b/bench/steps.c
@@ -26,6 +26,9 @@
 
 #define MAX_STEPS 5
 
+/** A job that ends within this multiple of its objective has some value. */
+#define LATE_FACTOR 3
+
 /** Tail-latency target of a service's tasks. */
 #define SERVICE_TARGET_MS 100
 
@@ -135,8 +138,12 @@
 
 	job->ended = TRUE;
 	m->result->done[job->kind]++;
-	if ((double)(m->now_ms - job->submitted_ms) > objective_ms)
+	if ((double)(m->now_ms - job->submitted_ms) > objective_ms) {
+		if ((double)(m->now_ms - job->submitted_ms) <=
+		    LATE_FACTOR * objective_ms)
+			m->result->late[job->kind]++;
 		return;
+	}
 	m->result->in_time[job->kind]++;
 	m->result->work_in_time[job->kind] += work;
 }
@@ -248,7 +255,7 @@
 		steps_worker_stop(&vm->worker, c->call, m->now_ms);
 		break;
 	case RUNS_CALL_SET_CPU_SHARE:
-		steps_worker_set_cpu_share(&vm->worker, c->call);
+		steps_worker_set_cpu_share(&vm->worker, c->call, m->now_ms);
 		break;
 	case RUNS_CALL_RENEW_LEASE:
 		steps_worker_lists(&vm->worker, c->call->acked_through,
@@ -342,6 +349,24 @@
 	return mean * g_rand_double_range(m->rand, 1 - fraction, 1 + fraction);
 }
 
+static double mean_cpu_milli(const struct steps *m, enum steps_kind kind)
+{
+	const struct steps_options *options = m->options;
+
+	if (kind == STEPS_BATCH && options->batch_cpu_milli > 0)
+		return options->batch_cpu_milli;
+	if (kind == STEPS_SERVICE && options->service_cpu_milli > 0)
+		return options->service_cpu_milli;
+	return kinds[kind].cpu_milli;
+}
+
+static double mean_duration_ms(const struct steps *m, enum steps_kind kind)
+{
+	return kind == STEPS_BATCH && m->options->batch_duration_ms > 0
+		       ? m->options->batch_duration_ms
+		       : kinds[kind].duration_ms;
+}
+
 static struct job *job_new(struct steps *m, enum steps_kind kind)
 {
 	struct job *job = g_new0(struct job, 1);
@@ -353,8 +378,8 @@
 	job->kind = kind;
 	job->n_steps = CLAMP((guint)steps, 1, MAX_STEPS);
 	job->replicas = MAX((guint)vary(m, kinds[kind].replicas, 0.7), 1);
-	job->cpu_milli = (gint64)vary(m, kinds[kind].cpu_milli, 0.4);
-	job->duration_ms = vary(m, kinds[kind].duration_ms, 0.5);
+	job->cpu_milli = (gint64)vary(m, mean_cpu_milli(m, kind), 0.4);
+	job->duration_ms = vary(m, mean_duration_ms(m, kind), 0.5);
 	job->declared_ms = vary(m, job->duration_ms, 0.6);
 	job->image = (guint)g_rand_int_range(
 		m->rand, 0,
@@ -423,8 +448,10 @@
 {
 	gint64 since = m->now_ms - START_MS;
 	gint64 third = m->options->run_ms / 3;
-	double flood = since >= third && since < 2 * third ? m->options->flood
-							   : 1;
+	gint64 from_ms = m->options->flood_is_first ? 0 : third;
+	double flood = since >= from_ms && since < from_ms + third
+			       ? m->options->flood
+			       : 1;
 	double tick_s = STEPS_TICK_MS / 1000.0;
 
 	if (since >= m->options->run_ms)
@@ -433,6 +460,9 @@
 		submit(m, STEPS_URGENT);
 	if (g_rand_double(m->rand) < m->options->batch_per_s * flood * tick_s)
 		submit(m, STEPS_BATCH);
+	if (m->options->services_per_s > 0 &&
+	    g_rand_double(m->rand) < m->options->services_per_s * tick_s)
+		submit(m, STEPS_SERVICE);
 }
 
 static GPtrArray *queues_new(void)
@@ -466,7 +496,7 @@
 	vm->calls = g_ptr_array_new();
 	vm->to_leader = evbuffer_new();
 	vm->to_agent = evbuffer_new();
-	steps_worker_init(&vm->worker, m->options->cores_per_vm);
+	steps_worker_init(&vm->worker, m->options);
 	up.vm = vm->name;
 	leader_reduce(m, &up);
 	worker_heartbeat(m, vm);
--- a/bench/steps.h
+++ b/bench/steps.h
@@ -30,8 +30,28 @@
 	double urgent_per_s;
 	double batch_per_s;
 	guint services;
-	/** Factor on batch_per_s in the middle third of run_ms. */
+	/** Factor on batch_per_s in the middle third of run_ms, or in the first
+	 * one. */
 	double flood;
+	gboolean flood_is_first;
+	/** Services submitted during run_ms, per second. */
+	double services_per_s;
+	/** Mean CPUs and duration of the tasks; 0 for the defaults. */
+	double batch_cpu_milli;
+	double batch_duration_ms;
+	double service_cpu_milli;
+	/** Load of the services: it swings by this fraction of its mean, and so
+	 * do their baseline latency and CPU use; 0 for the defaults. */
+	double service_swing;
+	/** Mean fraction of its declared CPUs that a service uses; 0 for the
+	 * default. */
+	double service_cpu_use;
+	double service_period_ms;
+	/** Image pairs with a high interference coefficient, of 20; 0 for the
+	 * default. */
+	guint heavy_pairs;
+	/** Delay of a changed CPU share. */
+	gint64 share_delay_ms;
 };
 
 struct steps_result {
@@ -39,6 +59,8 @@
 	guint jobs[STEPS_N_KINDS];
 	guint done[STEPS_N_KINDS];
 	guint in_time[STEPS_N_KINDS];
+	/** Jobs done after their objective, but within three times of it. */
+	guint late[STEPS_N_KINDS];
 	/** Work of all jobs and of those in time, CPU-seconds. */
 	double work[STEPS_N_KINDS];
 	double work_in_time[STEPS_N_KINDS];
@@ -46,6 +68,8 @@
 	 * latency was over the target. */
 	double service_ms;
 	double service_over_ms;
+	/** The part of service_over_ms that no best-effort task caused. */
+	double service_over_alone_ms;
 	/** CPU time of the leader, decoding of reports included. */
 	double leader_cpu_ms;
 	guint64 leader_events;
--- a/bench/steps_internal.h
+++ b/bench/steps_internal.h
@@ -22,8 +22,11 @@
 	struct steps_task_spec spec;
 	/** Completed part of spec.duration_ms. */
 	double done_ms;
-	/** CPU share that the agent set, 0 to 1. */
+	/** CPU share in force, 0 to 1; the one that the agent set last, and
+	 * when that takes effect. */
 	double cpu_share;
+	double next_cpu_share;
+	gint64 share_from_ms;
 	/** Milli-CPUs in use, or latency in ms of a service task. */
 	double measurement;
 	/** Time at which an ordered stop takes effect, or 0. */
@@ -39,6 +42,7 @@
 
 struct steps_worker {
 	gint64 cores;
+	const struct steps_options *options;
 	GPtrArray *runs;
 	/** struct Rp__RunEnd, until acknowledged. */
 	GPtrArray *ends;
@@ -47,14 +51,15 @@
 	gboolean end_is_new;
 };
 
-void steps_worker_init(struct steps_worker *w, gint64 cores);
+void steps_worker_init(struct steps_worker *w,
+		       const struct steps_options *options);
 void steps_worker_clear(struct steps_worker *w);
 void steps_worker_start(struct steps_worker *w, const struct runs_call *call,
 			const struct steps_task_spec *spec);
 void steps_worker_stop(struct steps_worker *w, const struct runs_call *call,
 		       gint64 now_ms);
 void steps_worker_set_cpu_share(struct steps_worker *w,
-				const struct runs_call *call);
+				const struct runs_call *call, gint64 now_ms);
 /** Advances all runs by a tick; adds the services' run time to result. */
 void steps_worker_tick(struct steps_worker *w, gint64 now_ms,
 		       struct steps_result *result);
--- a/bench/steps_worker.c
+++ b/bench/steps_worker.c
@@ -18,6 +18,9 @@
 #define COEFFICIENT_HEAVY 0.06
 #define COEFFICIENT_LIGHT 0.004
 
+/** Default of options->heavy_pairs. */
+#define HEAVY_PAIRS 11
+
 /** Upper limit of latencies, relative to the target. */
 #define MAX_LATENCY_RATIO 8.0
 
@@ -37,9 +40,11 @@
 	rp__run_end__free_unpacked(data, NULL);
 }
 
-void steps_worker_init(struct steps_worker *w, gint64 cores)
+void steps_worker_init(struct steps_worker *w,
+		       const struct steps_options *options)
 {
-	w->cores = cores;
+	w->cores = options->cores_per_vm;
+	w->options = options;
 	w->runs = g_ptr_array_new_with_free_func(free_run);
 	w->ends = g_ptr_array_new_with_free_func(free_end);
 	w->next_end = 1;
@@ -78,6 +83,7 @@
 	run->attempt = call->attempt;
 	run->spec = *spec;
 	run->cpu_share = 1;
+	run->next_cpu_share = 1;
 	if (call->checkpoint)
 		run->done_ms = g_ascii_strtod(call->checkpoint, NULL);
 	g_ptr_array_add(w->runs, run);
@@ -93,12 +99,14 @@
 }
 
 void steps_worker_set_cpu_share(struct steps_worker *w,
-				const struct runs_call *call)
+				const struct runs_call *call, gint64 now_ms)
 {
 	struct steps_worker_run *run = find(w, call);
 
-	if (run)
-		run->cpu_share = call->cpu_share_percent / 100.0;
+	if (!run)
+		return;
+	run->next_cpu_share = call->cpu_share_percent / 100.0;
+	run->share_from_ms = now_ms + w->options->share_delay_ms;
 }
 
 static char *checkpoint_new(const struct steps_worker_run *run)
@@ -125,27 +133,54 @@
 }
 
 /** Coefficient of an image pair. */
-static double coefficient(guint service_image, guint batch_image)
+static double coefficient(const struct steps_worker *w, guint service_image,
+			  guint batch_image)
 {
-	return (service_image * 7 + batch_image * 13) % 20 < 11
+	guint heavy_pairs = w->options->heavy_pairs ? w->options->heavy_pairs
+						    : HEAVY_PAIRS;
+
+	return (service_image * 7 + batch_image * 13) % 20 < heavy_pairs
 		       ? COEFFICIENT_HEAVY
 		       : COEFFICIENT_LIGHT;
 }
 
-/** Baseline latency ratio of a service now. */
-static double baseline_ratio(const struct steps_worker_run *run, gint64 now_ms)
+/* Swing of a service's load now, -1 to 1; each image has a phase of its own. */
+static double swing(const struct steps_worker *w,
+		    const struct steps_worker_run *run, gint64 now_ms)
 {
+	double period_ms = w->options->service_period_ms > 0
+				   ? w->options->service_period_ms
+				   : BASELINE_PERIOD_MS;
 	gint64 phase = (gint64)(run->spec.image * 1931) + now_ms;
-	double position = (double)(phase % (gint64)BASELINE_PERIOD_MS) /
-			  BASELINE_PERIOD_MS;
+	double position = (double)(phase % (gint64)period_ms) / period_ms;
+
+	return position < 0.5 ? 4 * position - 1 : 3 - 4 * position;
+}
+
+/** Baseline latency ratio of a service now. */
+static double baseline_ratio(const struct steps_worker *w,
+			     const struct steps_worker_run *run, gint64 now_ms)
+{
+	double amplitude = w->options->service_swing > 0
+				   ? w->options->service_swing * BASELINE_RATIO
+				   : BASELINE_AMPLITUDE;
 
-	return BASELINE_RATIO +
-	       BASELINE_AMPLITUDE *
-		       (position < 0.5 ? 4 * position - 1 : 3 - 4 * position);
+	return BASELINE_RATIO + amplitude * swing(w, run, now_ms);
+}
+
+/* Fraction of its declared CPUs that a service uses now. */
+static double service_cpu_use(const struct steps_worker *w,
+			      const struct steps_worker_run *run, gint64 now_ms)
+{
+	double mean = w->options->service_cpu_use > 0
+			      ? w->options->service_cpu_use
+			      : SERVICE_CPU_USE;
+
+	return mean * (1 + w->options->service_swing * swing(w, run, now_ms));
 }
 
 /* Fraction of their allowed CPUs that best-effort tasks get of the unused. */
-static double best_effort_fraction(const struct steps_worker *w)
+static double best_effort_fraction(const struct steps_worker *w, gint64 now_ms)
 {
 	double unused = (double)w->cores;
 	double allowed = 0;
@@ -157,10 +192,10 @@
 
 		if (run->spec.kind == STEPS_BATCH)
 			allowed += cpus * run->cpu_share;
+		else if (run->spec.kind == STEPS_SERVICE)
+			unused -= cpus * service_cpu_use(w, run, now_ms);
 		else
-			unused -= cpus * (run->spec.kind == STEPS_SERVICE
-						  ? SERVICE_CPU_USE
-						  : 1);
+			unused -= cpus;
 	}
 	return allowed > 0 ? CLAMP(unused / allowed, 0, 1) : 1;
 }
@@ -177,23 +212,32 @@
 		const struct steps_worker_run *other = w->runs->pdata[i];
 
 		if (other->spec.kind == STEPS_BATCH)
-			interference += coefficient(run->spec.image,
+			interference += coefficient(w, run->spec.image,
 						    other->spec.image) *
 					other->measurement / 1000;
 	}
-	ratio = baseline_ratio(run, now_ms) / MAX(1 - interference, 0.01);
+	ratio = baseline_ratio(w, run, now_ms) / MAX(1 - interference, 0.01);
 	run->measurement = MIN(ratio, MAX_LATENCY_RATIO) * run->spec.target_ms;
 	result->service_ms += STEPS_TICK_MS;
 	if (ratio > 1)
 		result->service_over_ms += STEPS_TICK_MS;
+	if (baseline_ratio(w, run, now_ms) > 1)
+		result->service_over_alone_ms += STEPS_TICK_MS;
 }
 
 void steps_worker_tick(struct steps_worker *w, gint64 now_ms,
 		       struct steps_result *result)
 {
-	double fraction = best_effort_fraction(w);
+	double fraction;
 	guint i;
 
+	for (i = 0; i < w->runs->len; i++) {
+		struct steps_worker_run *run = w->runs->pdata[i];
+
+		if (now_ms >= run->share_from_ms)
+			run->cpu_share = run->next_cpu_share;
+	}
+	fraction = best_effort_fraction(w, now_ms);
 	for (i = 0; i < w->runs->len; i++) {
 		struct steps_worker_run *run = w->runs->pdata[i];
 		double share = run->spec.kind == STEPS_BATCH
