sched: start the last tasks of a best-effort step early

What callers saw: steps of which most tasks ran at once and the last ones waited for several seconds behind smaller jobs. Cause: the work that orders best-effort steps counted all tasks of the step, also those that run or are done. Change: only tasks without a run count, and the later steps. Before: overload_test (test_last_task_of_a_step_before_a_small_job) failed in 1 of 1.

--- a/sched/order.c
+++ b/sched/order.c
@@ -27,11 +27,17 @@
  * CPU-milliseconds from a best-effort step to the job's end, as if the later
  * steps had as many tasks. When such tasks queue, the least work goes first:
  * they get only part of their CPUs, so slack says little, and many small jobs
- * are done in the time of a large one.
+ * are done in the time of a large one. Of the step itself only tasks without a
+ * run count: a step ends with its last task, so one that lacks a few starts is
+ * nearly done, and the work of the tasks that run is lost time until then.
  */
 static gint64 remaining_work(const struct sch_step_instance *instance)
 {
-	return instance->critical_path_ms * instance->n_tasks *
+	gint64 own_ms = MIN((gint64)instance->step->estimate_ms,
+			    instance->critical_path_ms);
+	gint64 later_ms = instance->critical_path_ms - own_ms;
+
+	return (own_ms * instance->n_idle + later_ms * instance->n_tasks) *
 	       instance->step->need->cpu_milli / 1000;
 }
 
