sched: keep the interference table in the store

What callers saw: after a loss of power everywhere, long-running tasks over their target until each pair of images was measured again. Cause: the coefficients were only in the memory of the leader and the agents. Change: the leader writes them to radishpier/step-interference, every 10 s at most, as one more operation of a transaction that is under way, with their variances, at most 16 KiB of the best known pairs; a new leader reads the key with the records. An earlier version logs the key as malformed and ignores it. Before: overload_test (test_interference_table_is_stored, test_interference_record_is_bounded) could not be built.

--- a/bench/bench_overload_main.c
+++ b/bench/bench_overload_main.c
@@ -64,11 +64,14 @@
 	guint services;
 	/** 0 for the default. */
 	double service_cpu_use;
+	/** The leader reads what an earlier one has stored of the same load. */
+	gboolean learned_before;
 };
 
 static const struct load loads[] = {
 	{ "burst", 3.3, 2.5, FALSE, 14, 0 },
 	{ "burst at the start", 3.3, 2.5, TRUE, 3, 0 },
+	{ "burst at the start, learned before", 3.3, 2.5, TRUE, 3, 0, TRUE },
 	{ "few free CPUs", 3.3, 1, FALSE, 24, 0 },
 	{ "busy services", 3.3, 1, FALSE, 18, 0.65 },
 	{ "sufficient capacity", 2, 1, FALSE, 8, 0 },
@@ -88,8 +91,15 @@
 	options->service_cpu_use = load->service_cpu_use;
 	for (i = 1; i <= seeds; i++) {
 		options->seed = i;
+		options->interference = NULL;
 		steps_run(options, &result);
+		if (load->learned_before) {
+			options->interference = result.interference;
+			steps_run(options, &result);
+			g_bytes_unref(options->interference);
+		}
 		add(&sum, &result);
+		g_bytes_unref(result.interference);
 	}
 	print(load->name, &sum);
 }
--- a/bench/bench_steps_main.c
+++ b/bench/bench_steps_main.c
@@ -86,8 +86,10 @@
 	guint i;
 
 	steps_run(options, best);
+	g_clear_pointer(&best->interference, g_bytes_unref);
 	for (i = 1; i < REPEATS; i++) {
 		steps_run(options, &result);
+		g_clear_pointer(&result.interference, g_bytes_unref);
 		if (result.leader_cpu_ms < best->leader_cpu_ms)
 			*best = result;
 	}
--- a/bench/steps.c
+++ b/bench/steps.c
@@ -159,6 +159,10 @@
 		return;
 	data = g_bytes_get_data(op->value, &len);
 	m->result->record_bytes += len;
+	if (!strcmp(op->key, SCH_INTERFERENCE_KEY)) {
+		g_clear_pointer(&m->result->interference, g_bytes_unref);
+		m->result->interference = g_bytes_ref(op->value);
+	}
 	if (!g_str_has_prefix(op->key, SCH_PROGRESS_PREFIX))
 		return;
 	progress = rp__step_progress__unpack(NULL, len, data);
@@ -597,6 +601,10 @@
 
 	memset(result, 0, sizeof(*result));
 	m.sch = sch_new(&sch_options, m.now_ms);
+	if (options->interference)
+		sch_load_interference(
+			m.sch, g_bytes_get_data(options->interference, NULL),
+			g_bytes_get_size(options->interference));
 	tables.queues = queues_new();
 	leader_reduce(&m, &tables);
 	leader_reduce(&m, &confirmed);
--- a/bench/steps.h
+++ b/bench/steps.h
@@ -50,6 +50,8 @@
 	/** Image pairs with a high interference coefficient, of 20; 0 for the
 	 * default. */
 	guint heavy_pairs;
+	/** Record of the interference table that the leader reads, or NULL. */
+	GBytes *interference;
 	/** Delay of a changed CPU share. */
 	gint64 share_delay_ms;
 };
@@ -74,6 +76,8 @@
 	double leader_cpu_ms;
 	guint64 leader_events;
 	guint64 starts;
+	/** The last record of the interference table; owned by the caller. */
+	GBytes *interference;
 	/** Size of the frames between leader and agents. */
 	guint64 frame_bytes;
 	/** Size of the records written, and number of transactions. */
--- a/cell/lead.c
+++ b/cell/lead.c
@@ -400,7 +400,9 @@
 	const void *data = g_bytes_get_data(value, &len);
 	int result;
 
-	if (g_str_has_prefix(key, SCH_JOB_PREFIX))
+	if (!strcmp(key, SCH_INTERFERENCE_KEY))
+		result = sch_load_interference(lead->sch, data, len);
+	else if (g_str_has_prefix(key, SCH_JOB_PREFIX))
 		result = sch_load_job(lead->sch, key + strlen(SCH_JOB_PREFIX),
 				      data, len);
 	else
--- a/colo/colo.c
+++ b/colo/colo.c
@@ -159,6 +159,25 @@
 	pair->variance = MIN(pair->variance, RECEIVED_VARIANCE_MAX);
 }
 
+double colo_variance(const struct colo_table *table,
+		     guint latency_sensitive_image, guint best_effort_image)
+{
+	const struct pair *pair = find_pair(table, latency_sensitive_image,
+					    best_effort_image);
+
+	return pair ? pair->variance : DEFAULT_VARIANCE;
+}
+
+void colo_restore(struct colo_table *table, guint latency_sensitive_image,
+		  guint best_effort_image, double coefficient, double variance)
+{
+	struct pair *pair = find_or_add_pair(table, latency_sensitive_image,
+					     best_effort_image);
+
+	pair->coefficient = CLAMP(coefficient, 0, COEFFICIENT_MAX);
+	pair->variance = CLAMP(variance, DRIFT_VARIANCE, DEFAULT_VARIANCE);
+}
+
 void colo_foreach_pair(const struct colo_table *table,
 		       void (*fn)(void *ctx, guint latency_sensitive_image,
 				  guint best_effort_image, double coefficient),
--- a/colo/colo.h
+++ b/colo/colo.h
@@ -47,6 +47,14 @@
 void colo_set_coefficient(struct colo_table *table,
 			  guint latency_sensitive_image,
 			  guint best_effort_image, double coefficient);
+/** Variance of the pair's coefficient; that of the default for a pair that is
+ * not known. */
+double colo_variance(const struct colo_table *table,
+		     guint latency_sensitive_image, guint best_effort_image);
+/** Sets a coefficient and its variance, both of which an earlier process
+ * stored. */
+void colo_restore(struct colo_table *table, guint latency_sensitive_image,
+		  guint best_effort_image, double coefficient, double variance);
 /** TRUE if the pair's coefficient was estimated or set. */
 gboolean colo_is_known(const struct colo_table *table,
 		       guint latency_sensitive_image, guint best_effort_image);
--- a/sched/commit.c
+++ b/sched/commit.c
@@ -89,6 +89,19 @@
 	return job;
 }
 
+/* Adds the record of the interference table, if it is due and there is room; it
+ * causes no transaction of its own. */
+static void add_interference(struct sch *s, struct kv_txn *txn)
+{
+	g_autoptr(GBytes) value = NULL;
+
+	if (txn->ops->len >= s->options.max_ops)
+		return;
+	value = sch_interference_record(s);
+	if (value)
+		kv_txn_put(txn, SCH_INTERFERENCE_KEY, value, 0);
+}
+
 void sch_commit_start(struct sch *s)
 {
 	gint64 interval_ms = s->awaited.head || s->revision_due
@@ -109,6 +122,7 @@
 		add_job(job, txn);
 		g_ptr_array_add(s->commit, job);
 	}
+	add_interference(s, txn);
 	s->commit_sent_ms = s->now_ms;
 	s->stats.commits++;
 	effect = sch_effect_add(s, SCH_EFFECT_COMMIT);
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -411,6 +411,8 @@
 	/** Queue's name to struct sch_queue_durations; owned. */
 	GHashTable *durations;
 	struct colo_table *colo;
+	/** When the record of colo was last due; 0 for never. */
+	gint64 interference_written_ms;
 	/** Mean CPU share of best-effort tasks, 0 to 1. */
 	double best_effort_cpu_share;
 	/** Jobs with record changes to write, the oldest first. */
@@ -674,6 +676,10 @@
 void sch_interference_add_orders(struct sch *s, const struct sch_vm *vm,
 				 struct Rp__VmOrders *orders);
 
+/* interfere_record.c */
+/** Returns the record of the interference table, or NULL if none is due. */
+GBytes *sch_interference_record(struct sch *s);
+
 /* move.c */
 /** Stops runs that should start again on another VM, if a check is due. */
 void sch_reschedule(struct sch *s);
--- a/sched/model_test.c
+++ b/sched/model_test.c
@@ -37,7 +37,9 @@
 			g_hash_table_lookup(m->store, key), &len);
 		int result;
 
-		if (g_str_has_prefix(key, SCH_JOB_PREFIX))
+		if (!strcmp(key, SCH_INTERFERENCE_KEY))
+			result = sch_load_interference(sch, data, len);
+		else if (g_str_has_prefix(key, SCH_JOB_PREFIX))
 			result = sch_load_job(sch, key + strlen(SCH_JOB_PREFIX),
 					      data, len);
 		else
--- a/sched/overload_test.c
+++ b/sched/overload_test.c
@@ -43,6 +43,128 @@
 }
 END_TEST
 
+/* The last record of the interference table in the transactions, or NULL. */
+static GBytes *interference_record(const struct leader *l)
+{
+	guint i;
+	guint k;
+
+	for (i = l->effects->len; i-- > 0;) {
+		const struct sch_effect *e =
+			&g_array_index(l->effects, struct sch_effect, i);
+
+		for (k = 0; e->txn && k < e->txn->ops->len; k++) {
+			const struct kv_op *op =
+				&g_array_index(e->txn->ops, struct kv_op, k);
+
+			if (!strcmp(op->key, SCH_INTERFERENCE_KEY))
+				return op->value;
+		}
+	}
+	return NULL;
+}
+
+static void learn_pair(struct leader *l, const char *sensitive,
+		       const char *best_effort, double interference)
+{
+	struct colo_cpu_use use = {
+		.image = colo_image_id(l->s->colo, best_effort),
+		.cpus = 4,
+	};
+	guint i;
+
+	for (i = 0; i < 10; i++)
+		colo_update_coefficients(
+			l->s->colo, colo_image_id(l->s->colo, sensitive), 0.4,
+			0.4 / (1 - interference), &use, 1);
+}
+
+static double coefficient(struct leader *l, const char *sensitive,
+			  const char *best_effort)
+{
+	return colo_coefficient(l->s->colo,
+				colo_image_id(l->s->colo, sensitive),
+				colo_image_id(l->s->colo, best_effort));
+}
+
+/*
+ * Guards against a leader that has to learn which images disturb each other
+ * again when no agent is left that knows it. Pairs that were not measured are
+ * not stored, so that the next leader does not take them for known.
+ */
+START_TEST(test_interference_table_is_stored)
+{
+	struct leader l;
+	struct leader next;
+	GBytes *record;
+
+	setup(&l);
+	learn_pair(&l, "web", "heavy", 0.2);
+	learn_pair(&l, "web", "light", 0);
+	colo_restore(l.s->colo, colo_image_id(l.s->colo, "web"),
+		     colo_image_id(l.s->colo, "new"), 0.3, 4e-4);
+	add_vm(&l, "vm1");
+	submit_tasks(&l, "/q/a", 1, 1000, 1000);
+	commit(&l);
+	record = interference_record(&l);
+	ck_assert_ptr_nonnull(record);
+	/* An earlier version ignores it when it leads again. */
+	ck_assert_ptr_null(
+		rp__step_progress__unpack(NULL, g_bytes_get_size(record),
+					  g_bytes_get_data(record, NULL)));
+	setup(&next);
+	ck_assert_int_eq(sch_load_interference(next.s,
+					       g_bytes_get_data(record, NULL),
+					       g_bytes_get_size(record)),
+			 0);
+	ck_assert_double_eq(coefficient(&next, "web", "heavy"),
+			    coefficient(&l, "web", "heavy"));
+	ck_assert_double_eq(coefficient(&next, "web", "light"),
+			    coefficient(&l, "web", "light"));
+	ck_assert_double_gt(coefficient(&next, "web", "heavy"), 0.03);
+	ck_assert(!colo_is_known(next.s->colo,
+				 colo_image_id(next.s->colo, "web"),
+				 colo_image_id(next.s->colo, "new")));
+	teardown(&next);
+	teardown(&l);
+}
+END_TEST
+
+/*
+ * Guards against a record of the interference table that is written with each
+ * transaction, or grows with the number of images.
+ */
+START_TEST(test_interference_record_is_bounded)
+{
+	struct leader l;
+	guint i;
+
+	setup(&l);
+	for (i = 0; i < 1000; i++) {
+		g_autofree char *image = g_strdup_printf("image-%u", i);
+
+		learn_pair(&l, "web", image, 0.1);
+	}
+	add_vm(&l, "vm1");
+	submit_tasks(&l, "/q/a", 1, 1000, 1000);
+	commit(&l);
+	ck_assert_ptr_nonnull(interference_record(&l));
+	ck_assert_uint_le(g_bytes_get_size(interference_record(&l)), 16384);
+	ck_assert_uint_gt(g_bytes_get_size(interference_record(&l)), 16000);
+	clear_effects(&l);
+	submit_tasks(&l, "/q/b", 1, 1000, 1000);
+	commit(&l);
+	ck_assert_ptr_null(interference_record(&l));
+	tick(&l, 10000);
+	clear_effects(&l);
+	confirm_leadership(&l);
+	submit_tasks(&l, "/q/c", 1, 1000, 1000);
+	commit(&l);
+	ck_assert_ptr_nonnull(interference_record(&l));
+	teardown(&l);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("overload");
@@ -50,6 +172,8 @@
 
 	fixture_drop_logs();
 	tcase_add_test(tcase, test_last_task_of_a_step_before_a_small_job);
+	tcase_add_test(tcase, test_interference_table_is_stored);
+	tcase_add_test(tcase, test_interference_record_is_bounded);
 	suite_add_tcase(suite, tcase);
 	return fixture_run(suite);
 }
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -34,6 +34,9 @@
 #define SCH_JOB_PREFIX "radishpier/step-job/"
 #define SCH_PROGRESS_PREFIX "radishpier/step-progress/"
 
+/** Key of the record of the interference table. */
+#define SCH_INTERFERENCE_KEY "radishpier/step-interference"
+
 /** Queue of jobs, from a route of the configuration tables. */
 struct sch_queue {
 	char *name;
@@ -167,6 +170,8 @@
 int sch_load_job(struct sch *s, const char *id, const void *data, size_t len);
 int sch_load_progress(struct sch *s, const char *id, const void *data,
 		      size_t len, gint64 unix_ms);
+/** As sch_load_job(), for the value of SCH_INTERFERENCE_KEY. */
+int sch_load_interference(struct sch *s, const void *data, size_t len);
 
 /** Appends struct sch_effect to effects, in the order to be carried out. */
 void sch_reduce(struct sch *s, const struct sch_event *ev, GArray *effects);
--- a/wire/rp.pb-c.c
+++ b/wire/rp.pb-c.c
@@ -1807,6 +1807,51 @@
   assert(message->base.descriptor == &rp__image_pair__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   rp__step_interference__init
+                     (Rp__StepInterference         *message)
+{
+  static const Rp__StepInterference init_value = RP__STEP_INTERFERENCE__INIT;
+  *message = init_value;
+}
+size_t rp__step_interference__get_packed_size
+                     (const Rp__StepInterference *message)
+{
+  assert(message->base.descriptor == &rp__step_interference__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rp__step_interference__pack
+                     (const Rp__StepInterference *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rp__step_interference__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rp__step_interference__pack_to_buffer
+                     (const Rp__StepInterference *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rp__step_interference__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Rp__StepInterference *
+       rp__step_interference__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Rp__StepInterference *)
+     protobuf_c_message_unpack (&rp__step_interference__descriptor,
+                                allocator, len, data);
+}
+void   rp__step_interference__free_unpacked
+                     (Rp__StepInterference *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp__step_interference__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   rp__serving_base__init
                      (Rp__ServingBase         *message)
 {
@@ -5719,7 +5764,7 @@
   (ProtobufCMessageInit) rp__run_start__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp__image_pair__field_descriptors[3] =
+static const ProtobufCFieldDescriptor rp__image_pair__field_descriptors[4] =
 {
   {
     "serving",
@@ -5757,16 +5802,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "variance",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Rp__ImagePair, variance),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rp__image_pair__field_indices_by_name[] = {
   1,   /* field[1] = filling */
   0,   /* field[0] = serving */
   2,   /* field[2] = slope */
+  3,   /* field[3] = variance */
 };
 static const ProtobufCIntRange rp__image_pair__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor rp__image_pair__descriptor =
 {
@@ -5776,13 +5834,51 @@
   "Rp__ImagePair",
   "rp",
   sizeof(Rp__ImagePair),
-  3,
+  4,
   rp__image_pair__field_descriptors,
   rp__image_pair__field_indices_by_name,
   1,  rp__image_pair__number_ranges,
   (ProtobufCMessageInit) rp__image_pair__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor rp__step_interference__field_descriptors[1] =
+{
+  {
+    "pairs",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Rp__StepInterference, n_pairs),
+    offsetof(Rp__StepInterference, pairs),
+    &rp__image_pair__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rp__step_interference__field_indices_by_name[] = {
+  0,   /* field[0] = pairs */
+};
+static const ProtobufCIntRange rp__step_interference__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor rp__step_interference__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "rp.StepInterference",
+  "StepInterference",
+  "Rp__StepInterference",
+  "rp",
+  sizeof(Rp__StepInterference),
+  1,
+  rp__step_interference__field_descriptors,
+  rp__step_interference__field_indices_by_name,
+  1,  rp__step_interference__number_ranges,
+  (ProtobufCMessageInit) rp__step_interference__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor rp__serving_base__field_descriptors[2] =
 {
   {
--- a/wire/rp.pb-c.h
+++ b/wire/rp.pb-c.h
@@ -55,6 +55,7 @@
 typedef struct Rp__RunName Rp__RunName;
 typedef struct Rp__RunStart Rp__RunStart;
 typedef struct Rp__ImagePair Rp__ImagePair;
+typedef struct Rp__StepInterference Rp__StepInterference;
 typedef struct Rp__ServingBase Rp__ServingBase;
 typedef struct Rp__VmOrders Rp__VmOrders;
 typedef struct Rp__WorkerInfo Rp__WorkerInfo;
@@ -1115,10 +1116,29 @@
    *uses. Latency is the baseline / (1 - sum of coefficient x CPUs). 
    */
   double slope;
+  /*
+   * Variance of slope; only in StepInterference. 
+   */
+  double variance;
 };
 #define RP__IMAGE_PAIR__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rp__image_pair__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+
+
+/*
+ * Record of the leader's interference table. An earlier version takes it for a
+ *StepProgress, cannot parse it and ignores it. 
+ */
+struct  Rp__StepInterference
+{
+  ProtobufCMessage base;
+  size_t n_pairs;
+  Rp__ImagePair **pairs;
+};
+#define RP__STEP_INTERFERENCE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rp__step_interference__descriptor) \
+    , 0,NULL }
 
 
 /*
@@ -2494,6 +2514,25 @@
 void   rp__image_pair__free_unpacked
                      (Rp__ImagePair *message,
                       ProtobufCAllocator *allocator);
+/* Rp__StepInterference methods */
+void   rp__step_interference__init
+                     (Rp__StepInterference         *message);
+size_t rp__step_interference__get_packed_size
+                     (const Rp__StepInterference   *message);
+size_t rp__step_interference__pack
+                     (const Rp__StepInterference   *message,
+                      uint8_t             *out);
+size_t rp__step_interference__pack_to_buffer
+                     (const Rp__StepInterference   *message,
+                      ProtobufCBuffer     *buffer);
+Rp__StepInterference *
+       rp__step_interference__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rp__step_interference__free_unpacked
+                     (Rp__StepInterference *message,
+                      ProtobufCAllocator *allocator);
 /* Rp__ServingBase methods */
 void   rp__serving_base__init
                      (Rp__ServingBase         *message);
@@ -2939,6 +2978,9 @@
 typedef void (*Rp__ImagePair_Closure)
                  (const Rp__ImagePair *message,
                   void *closure_data);
+typedef void (*Rp__StepInterference_Closure)
+                 (const Rp__StepInterference *message,
+                  void *closure_data);
 typedef void (*Rp__ServingBase_Closure)
                  (const Rp__ServingBase *message,
                   void *closure_data);
@@ -3045,6 +3087,7 @@
 extern const ProtobufCMessageDescriptor rp__run_name__descriptor;
 extern const ProtobufCMessageDescriptor rp__run_start__descriptor;
 extern const ProtobufCMessageDescriptor rp__image_pair__descriptor;
+extern const ProtobufCMessageDescriptor rp__step_interference__descriptor;
 extern const ProtobufCMessageDescriptor rp__serving_base__descriptor;
 extern const ProtobufCMessageDescriptor rp__vm_orders__descriptor;
 extern const ProtobufCMessageDescriptor rp__worker_info__descriptor;
