sched: move best-effort stragglers to meet the objective

What callers saw: a job that missed its objective by a little, since one or two of the tasks of its last step got few CPUs on their VM for several seconds, while other VMs had room. Cause: a best-effort task was moved only after it had had less than 30 % of its CPUs for 1.5 s, whatever that meant for its job. Change: a new module (sched/straggler.c) projects the end of each best-effort task from its progress and its CPU use. It is moved if its job would miss the objective where it is and can meet it on another VM, if it saves its progress or has hardly begun, and if that gains 0.7 s.

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -244,6 +244,11 @@
 	 * CPU share or was first measured; 0 if nothing was reported yet. */
 	double used_cpus;
 	gint64 min_share_met_ms;
+	/** Work done since the first measurement, time x CPU share, and the
+	 * progress at that time. */
+	double work_ms;
+	guint work_from_percent;
+	gint64 work_updated_ms;
 };
 
 struct sch_task {
@@ -636,6 +641,35 @@
  * Jobs whose tasks have failed too often are ended as failed. */
 GArray *sch_collect_candidates(struct sch *s);
 
+/** When the job of a step has to end to meet its objective, boot clock; -1 if
+ * its queue is not known. */
+gint64 sch_order_objective_end_ms(const struct sch *s,
+				  const struct sch_step_instance *instance);
+
+/* straggler.c */
+/** A best-effort task that runs. */
+struct sch_straggler {
+	/** Work left, and that of the whole task, as time with all its CPUs. */
+	double remaining_ms;
+	double full_ms;
+	/** Present CPU share, 0 to 1. */
+	double cpu_share;
+	guint percent;
+	/** Another run continues from its checkpoint. */
+	gboolean saves_progress;
+	/** Time in which it has to end for its job to meet the objective. */
+	double available_ms;
+};
+
+/** TRUE if the job misses its objective unless the task is moved. */
+gboolean sch_straggler_should_move(const struct sch_straggler *straggler);
+/** Work left of a task that has done work_ms for progress_percent of itself and
+ * is at percent; expected_ms is its duration if that says too little. */
+double sch_straggler_remaining_ms(double work_ms, guint progress_percent,
+				  guint percent, double expected_ms);
+/** TRUE if the run is to be moved and another VM has room. */
+gboolean sch_is_straggler(struct sch *s, const struct sch_run *run);
+
 /* place.c */
 /** Plans runs of idle tasks, if a pass is due. */
 void sch_place(struct sch *s);
--- a/sched/move.c
+++ b/sched/move.c
@@ -145,7 +145,8 @@
 					 run->name, run->percent);
 			sch_vm_fault(s, vm, run->task->job, run->state_ms);
 			sch_run_stop(s, run);
-		} else if (wants_reschedule(s, run)) {
+		} else if (wants_reschedule(s, run) ||
+			   sch_is_straggler(s, run)) {
 			s->stats.rescheduled++;
 			sch_run_stop(s, run);
 			return;
--- a/sched/order.c
+++ b/sched/order.c
@@ -53,16 +53,31 @@
 	return (gint64)((double)instance->critical_path_ms / share);
 }
 
+/* When the job, or its occurrence, could start. */
+static gint64 from_ms(const struct sch_step_instance *instance)
+{
+	const struct sch_occurrence *occurrence =
+		&instance->job->occurrences[instance->occurrence];
+
+	return occurrence->due_unix_ms ? occurrence->due_ms
+				       : instance->job->accepted_ms;
+}
+
+gint64 sch_order_objective_end_ms(const struct sch *s,
+				  const struct sch_step_instance *instance)
+{
+	const struct sch_queue *queue = sch_queue_find(s, instance->job->queue);
+
+	return queue ? from_ms(instance) + objective_ms(instance->job, queue)
+		     : -1;
+}
+
 static void add_candidate(struct sch *s, GArray *candidates,
 			  struct sch_step_instance *instance,
 			  const struct sch_queue *queue, gint64 objective)
 {
-	const struct sch_occurrence *occurrence =
-		&instance->job->occurrences[instance->occurrence];
-	gint64 from_ms = occurrence->due_unix_ms ? occurrence->due_ms
-						 : instance->job->accepted_ms;
-	gint64 slack_ms = from_ms + objective - remaining_ms(s, instance) -
-			  s->now_ms;
+	gint64 slack_ms = from_ms(instance) + objective -
+			  remaining_ms(s, instance) - s->now_ms;
 	struct sch_candidate c = { .instance = instance, .queue = queue };
 
 	if (instance->step->lasts) {
@@ -78,7 +93,7 @@
 						   : instance->critical_path_ms;
 	} else {
 		c.urgency = SCH_URGENCY_OVERDUE;
-		c.sort_key = from_ms;
+		c.sort_key = from_ms(instance);
 	}
 	g_array_append_val(candidates, c);
 }
--- a/sched/overload_test.c
+++ b/sched/overload_test.c
@@ -165,6 +165,84 @@
 }
 END_TEST
 
+/* Guards against moves that do not help, or that lose more than they gain. */
+START_TEST(test_straggler_moves_only_to_meet_the_objective)
+{
+	const struct sch_straggler slow = {
+		.remaining_ms = 1000,
+		.full_ms = 2000,
+		.cpu_share = 0.2,
+		.percent = 50,
+		.saves_progress = TRUE,
+		.available_ms = 3000,
+	};
+	struct sch_straggler x = slow;
+
+	ck_assert(sch_straggler_should_move(&x));
+	x.available_ms = 6000; /* The job is in time all the same. */
+	ck_assert(!sch_straggler_should_move(&x));
+	x.available_ms = 1500; /* The job is late on another VM, too. */
+	ck_assert(!sch_straggler_should_move(&x));
+	x = slow;
+	x.cpu_share = 0.9; /* It would not end much earlier. */
+	x.available_ms = 1000;
+	ck_assert(!sch_straggler_should_move(&x));
+	x = slow;
+	x.saves_progress = FALSE; /* Half of its work would be lost. */
+	x.available_ms = 4000;
+	ck_assert(!sch_straggler_should_move(&x));
+	x.percent = 5;
+	x.remaining_ms = 1900;
+	ck_assert(sch_straggler_should_move(&x));
+}
+END_TEST
+
+/* Guards against a projection from a declared duration that is wrong. */
+START_TEST(test_straggler_duration_comes_from_progress)
+{
+	ck_assert_double_eq(sch_straggler_remaining_ms(0, 0, 0, 1000), 1000);
+	ck_assert_double_eq(sch_straggler_remaining_ms(100, 2, 2, 1000), 980);
+	ck_assert_double_eq(sch_straggler_remaining_ms(1000, 25, 75, 1000),
+			    1000);
+}
+END_TEST
+
+/*
+ * Guards against a job that misses its objective since one of its tasks gets
+ * few CPUs on its VM, while another VM has room for it.
+ */
+START_TEST(test_straggler_is_moved)
+{
+	static const struct row slow[] = {
+		{ "a.0.0.0", 1, RP__RUN_END_KIND__RUN_END_NONE, 0, 2, 1300 },
+	};
+	static const struct row stopped[] = {
+		{ "a.0.0.0", 1, RP__RUN_END_KIND__RUN_END_STOPPED, 1, 0, 0 },
+	};
+	struct leader l;
+	guint i;
+
+	setup(&l);
+	add_vm(&l, "vm1");
+	submit_tasks(&l, "/q/a", 1, 4000, 1000);
+	commit(&l);
+	ck_assert_str_eq(task(&l, "a.0.0.0")->runs[0]->vm->name, "vm1");
+	add_vm(&l, "vm2");
+	clear_effects(&l);
+	/* It takes 3 s there, and its job has to end 3 s after its start. */
+	for (i = 0; i < 2; i++) {
+		report(&l, "vm1", 50, slow, 1);
+		report(&l, "vm2", 50, NULL, 0);
+		tick(&l, 250);
+	}
+	ck_assert_uint_eq(count_orders(&l, TRUE), 1);
+	report(&l, "vm1", 50, stopped, 1);
+	commit(&l);
+	ck_assert_str_eq(task(&l, "a.0.0.0")->runs[0]->vm->name, "vm2");
+	teardown(&l);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("overload");
@@ -174,6 +252,9 @@
 	tcase_add_test(tcase, test_last_task_of_a_step_before_a_small_job);
 	tcase_add_test(tcase, test_interference_table_is_stored);
 	tcase_add_test(tcase, test_interference_record_is_bounded);
+	tcase_add_test(tcase, test_straggler_moves_only_to_meet_the_objective);
+	tcase_add_test(tcase, test_straggler_duration_comes_from_progress);
+	tcase_add_test(tcase, test_straggler_is_moved);
 	suite_add_tcase(suite, tcase);
 	return fixture_run(suite);
 }
