sched: order best-effort steps by the cost of a delay

What callers saw: a late job that lacked little work waited for all jobs that could still be in time, and lost the rest of its value. Cause: steps in time went before late ones, whatever they still needed. Change: best-effort steps are ordered by the value that a delay loses for each CPU-second that the job still needs: 1 in time, 0.15 late, and last when overdue. Priorities stay strict; other steps are ordered as before.

--- a/bench/bench_overload_main.c
+++ b/bench/bench_overload_main.c
@@ -27,6 +27,9 @@
 		sum->work[kind] += r->work[kind];
 		sum->work_in_time[kind] += r->work_in_time[kind];
 	}
+	sum->large += r->large;
+	sum->large_done += r->large_done;
+	sum->large_in_time += r->large_in_time;
 	sum->service_ms += r->service_ms;
 	sum->service_over_ms += r->service_over_ms;
 	sum->service_over_alone_ms += r->service_over_alone_ms;
@@ -48,6 +51,8 @@
 		       (r->in_time[kind] + LATE_VALUE * r->late[kind]) /
 			       MAX(r->jobs[kind], 1),
 		       r->work_in_time[kind] / MAX(r->work[kind], 1));
+	printf("  largest tenth of the batch jobs %u, done %u, in time %u\n",
+	       r->large, r->large_done, r->large_in_time);
 	printf("  services over target %.4f of the time, %.4f without "
 	       "neighbours\n",
 	       r->service_over_ms / MAX(r->service_ms, 1),
--- a/bench/steps.c
+++ b/bench/steps.c
@@ -48,6 +48,9 @@
 	gint64 submitted_ms;
 	gboolean accepted;
 	gboolean ended;
+	gboolean in_time;
+	/** CPU-seconds. */
+	double work;
 };
 
 struct vm {
@@ -130,8 +133,6 @@
 
 static void end_job(struct steps *m, struct job *job)
 {
-	double work = job->n_steps * job->replicas * (double)job->cpu_milli /
-		      1000 * job->duration_ms / 1000;
 	double objective_ms = kinds[job->kind].slack * job->n_steps *
 				      job->duration_ms +
 			      (double)kinds[job->kind].objective_base_ms;
@@ -144,8 +145,9 @@
 			m->result->late[job->kind]++;
 		return;
 	}
+	job->in_time = TRUE;
 	m->result->in_time[job->kind]++;
-	m->result->work_in_time[job->kind] += work;
+	m->result->work_in_time[job->kind] += job->work;
 }
 
 static void note_record(struct steps *m, const struct kv_op *op)
@@ -390,9 +392,9 @@
 		kind == STEPS_SERVICE ? SERVICE_IMAGES : BATCH_IMAGES);
 	job->submitted_ms = m->now_ms;
 	m->result->jobs[kind]++;
-	m->result->work[kind] += job->n_steps * job->replicas *
-				 (double)job->cpu_milli / 1000 *
-				 job->duration_ms / 1000;
+	job->work = job->n_steps * job->replicas * (double)job->cpu_milli /
+		    1000 * job->duration_ms / 1000;
+	m->result->work[kind] += job->work;
 	return job;
 }
 
@@ -573,6 +575,35 @@
 	g_free(job);
 }
 
+static int compare_work(gconstpointer a, gconstpointer b)
+{
+	double x = (*(struct job *const *)a)->work;
+	double y = (*(struct job *const *)b)->work;
+
+	return x > y ? -1 : x < y;
+}
+
+static void count_large_jobs(const struct steps *m)
+{
+	g_autoptr(GPtrArray) batch = g_ptr_array_new();
+	guint i;
+
+	for (i = 0; i < m->jobs->len; i++) {
+		struct job *job = m->jobs->pdata[i];
+
+		if (job->kind == STEPS_BATCH)
+			g_ptr_array_add(batch, job);
+	}
+	g_ptr_array_sort(batch, compare_work);
+	m->result->large = batch->len / 10;
+	for (i = 0; i < m->result->large; i++) {
+		const struct job *job = batch->pdata[i];
+
+		m->result->large_done += job->ended;
+		m->result->large_in_time += job->in_time;
+	}
+}
+
 void steps_run(const struct steps_options *options, struct steps_result *result)
 {
 	struct sch_options sch_options = {
@@ -616,6 +647,7 @@
 		advance(&m);
 	sch_get_stats(m.sch, &stats);
 	result->starts = stats.starts;
+	count_large_jobs(&m);
 	sch_free(m.sch);
 	for (i = 0; i < options->vms; i++)
 		clear_vm(&m.vms[i]);
--- a/bench/steps.h
+++ b/bench/steps.h
@@ -63,6 +63,11 @@
 	guint in_time[STEPS_N_KINDS];
 	/** Jobs done after their objective, but within three times of it. */
 	guint late[STEPS_N_KINDS];
+	/** Of the tenth of the batch jobs that needs the most work: jobs, and
+	 * those done, and done within their objective. */
+	guint large;
+	guint large_done;
+	guint large_in_time;
 	/** Work of all jobs and of those in time, CPU-seconds. */
 	double work[STEPS_N_KINDS];
 	double work_in_time[STEPS_N_KINDS];
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -618,7 +618,8 @@
 /* order.c */
 /** Urgency of a step within its queue's priority, most urgent first. */
 enum sch_urgency {
-	/** The job can still meet its objective. */
+	/** The job can still meet its objective; also late best-effort steps,
+	 * which are ordered by the cost of a delay. */
 	SCH_URGENCY_IN_TIME,
 	/** The job will miss its objective. */
 	SCH_URGENCY_LATE,
--- a/sched/order.c
+++ b/sched/order.c
@@ -1,17 +1,26 @@
 #include "internal.h"
 
 /*
- * The order in which steps start their tasks: by the queue's priority, then
- * steps whose job can still meet its objective, by slack (best-effort steps: by
- * remaining work), then late ones, by remaining time or work, then long-running
- * ones, then overdue ones. Slack alone would fail when jobs queue for several
- * times their duration: each job would wait until it is late.
+ * The order in which steps start their tasks: by the queue's priority, then, of
+ * steps that are not best-effort, those whose job can still meet its objective,
+ * by slack, then late ones, by remaining time, then long-running ones, then
+ * overdue ones. Slack alone would fail when jobs queue for several times their
+ * duration: each job would wait until it is late.
+ *
+ * Best-effort steps are ordered by what a delay costs: the value that is lost
+ * if the job ends later, for each CPU-second that it still needs. Addresses a
+ * burst of wide jobs that need more CPUs than there are, of which some have to
+ * end late.
  */
 
 /** A job that takes longer than this multiple of its objective is of little
  * use, so it goes last. */
 #define OVERDUE_FACTOR 3
 
+/** Value of a job that ends after its objective, but is not overdue; that of
+ * one in time is 1. */
+#define LATE_VALUE 0.15
+
 /** Lower bound of the mean CPU share in remaining_ms(): a lower mean is not
  * trusted. */
 #define MIN_TRUSTED_SHARE 0.25
@@ -72,6 +81,16 @@
 		     : -1;
 }
 
+/* Inverse of the cost of a delay: the lower it is, the more value is lost for
+ * each CPU-second of the job's remaining work. */
+static gint64 inverse_cost(const struct sch_step_instance *instance,
+			   gint64 slack_ms)
+{
+	double value = slack_ms >= 0 ? 1 : LATE_VALUE;
+
+	return (gint64)((double)remaining_work(instance) / value);
+}
+
 static void add_candidate(struct sch *s, GArray *candidates,
 			  struct sch_step_instance *instance,
 			  const struct sch_queue *queue, gint64 objective)
@@ -83,17 +102,18 @@
 	if (instance->step->lasts) {
 		c.urgency = SCH_URGENCY_LONG_RUNNING;
 		c.sort_key = instance->ready_ms;
+	} else if (slack_ms + (OVERDUE_FACTOR - 1) * objective < 0) {
+		c.urgency = SCH_URGENCY_OVERDUE;
+		c.sort_key = from_ms(instance);
+	} else if (instance->step->fills) {
+		c.urgency = SCH_URGENCY_IN_TIME;
+		c.sort_key = inverse_cost(instance, slack_ms);
 	} else if (slack_ms >= 0) {
 		c.urgency = SCH_URGENCY_IN_TIME;
-		c.sort_key = instance->step->fills ? remaining_work(instance)
-						   : slack_ms;
-	} else if (slack_ms + (OVERDUE_FACTOR - 1) * objective >= 0) {
-		c.urgency = SCH_URGENCY_LATE;
-		c.sort_key = instance->step->fills ? remaining_work(instance)
-						   : instance->critical_path_ms;
+		c.sort_key = slack_ms;
 	} else {
-		c.urgency = SCH_URGENCY_OVERDUE;
-		c.sort_key = from_ms(instance);
+		c.urgency = SCH_URGENCY_LATE;
+		c.sort_key = instance->critical_path_ms;
 	}
 	g_array_append_val(candidates, c);
 }
--- a/sched/overload_test.c
+++ b/sched/overload_test.c
@@ -243,6 +243,93 @@
 }
 END_TEST
 
+/* Name of the job whose step goes first. */
+static const char *first_job(struct leader *l)
+{
+	g_autoptr(GArray) candidates = sch_collect_candidates(l->s);
+
+	ck_assert_uint_gt(candidates->len, 0);
+	return g_array_index(candidates, struct sch_candidate, 0)
+		.instance->job->id;
+}
+
+/*
+ * Guards against a nearly finished job, which is late but still has some value,
+ * that waits for the whole of a large job that is in time: for each CPU-second
+ * it is worth more. It goes after one of the same size that is in time, and
+ * after all when it is overdue.
+ */
+START_TEST(test_cost_of_delay_orders_best_effort_steps)
+{
+	struct leader l;
+
+	setup(&l);
+	/* Objective 3 s, so it is late from 2 s on and overdue from 8 s on. */
+	submit_tasks(&l, "/q/late", 1, 1000, 1000);
+	commit(&l);
+	tick(&l, 2500);
+	confirm_leadership(&l);
+	submit_tasks(&l, "/q/large", 10, 1000, 1000);
+	commit(&l);
+	ck_assert_str_eq(first_job(&l), "late");
+	submit_tasks(&l, "/q/small", 1, 1000, 1000);
+	commit(&l);
+	ck_assert_str_eq(first_job(&l), "small");
+	tick(&l, 6000);
+	confirm_leadership(&l);
+	submit_tasks(&l, "/q/huge", 100, 1000, 1000);
+	commit(&l);
+	sch_job_end(l.s, g_hash_table_lookup(l.s->jobs, "small"),
+		    RP__JOB_STATE__JOB_STATE_CANCELLED);
+	sch_job_end(l.s, g_hash_table_lookup(l.s->jobs, "large"),
+		    RP__JOB_STATE__JOB_STATE_CANCELLED);
+	ck_assert_str_eq(first_job(&l), "huge");
+	teardown(&l);
+}
+END_TEST
+
+/*
+ * Guards against the largest jobs getting nothing while smaller ones arrive all
+ * the time: here these need all CPUs, and one job of ten is ten times as large.
+ */
+START_TEST(test_largest_tenth_is_served)
+{
+	guint small_started = 0;
+	guint large_started = 0;
+	struct leader l;
+	guint i;
+
+	setup(&l);
+	add_vm(&l, "vm1");
+	for (i = 0; i < 40; i++) {
+		g_autofree char *path = g_strdup_printf("/q/job%u", i);
+
+		confirm_leadership(&l);
+		report(&l, "vm1", 50, NULL, 0);
+		submit_tasks(&l, path, i % 10 ? 2 : 20, 4000, 1000);
+		commit(&l);
+	}
+	for (i = 0; i < 30; i++) {
+		confirm_leadership(&l);
+		report(&l, "vm1", 50, NULL, 0);
+		commit(&l);
+	}
+	for (i = 0; i < 40; i++) {
+		g_autofree char *id = g_strdup_printf("job%u", i);
+		const struct sch_job *job = g_hash_table_lookup(l.s->jobs, id);
+
+		if (job->n_runs && i % 10)
+			small_started++;
+		else if (job->n_runs)
+			large_started++;
+	}
+	/* Of 36 and of 4. */
+	ck_assert_uint_gt(small_started, 0);
+	ck_assert_uint_ge(2 * large_started * 36, small_started * 4);
+	teardown(&l);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("overload");
@@ -255,6 +342,8 @@
 	tcase_add_test(tcase, test_straggler_moves_only_to_meet_the_objective);
 	tcase_add_test(tcase, test_straggler_duration_comes_from_progress);
 	tcase_add_test(tcase, test_straggler_is_moved);
+	tcase_add_test(tcase, test_cost_of_delay_orders_best_effort_steps);
+	tcase_add_test(tcase, test_largest_tenth_is_served);
 	suite_add_tcase(suite, tcase);
 	return fixture_run(suite);
 }
