sched: bound on accepted jobs of steps

Cause: the leader accepted every job, so that its memory was bounded only by what callers submit. Change: a new module (sched/admission.c). A new job is refused with 429 while accepted jobs wait for capacity and 20,000 jobs, or 48 MiB of their records and tasks, are reached (struct sch_options; 0 for no bound). Retry-After is the time in which a tenth of the bound becomes free at the measured rate of ended jobs, at most 30 s, and up to twice that by the job's id. A repeat of an accepted job is never refused. Log line, metric radishpier_step_refused_total{reason}. Jobs that no VM can run still wait, and declared durations refuse nothing: a VM may be added, and estimates are wrong. Tests: test_bound_on_accepted_jobs, test_bound_on_bytes_of_jobs, test_retry_after_follows_the_drain_rate (overload_test).

--- a/cell/lead.c
+++ b/cell/lead.c
@@ -36,6 +36,12 @@
 /** Time for which the state of an ended job is kept; callers rely on 120 s. */
 #define RETENTION_MS 180000
 
+/** Bounds on accepted jobs. The users' deployments have a few hundred jobs that
+ * have not ended; at these bounds the smallest entries, 160 MB, still have most
+ * of their memory. */
+#define MAX_JOBS 20000
+#define MAX_JOB_BYTES (48 << 20)
+
 /** A registered process; name is that of its VM. */
 struct node {
 	struct cell_lead *lead;
@@ -349,6 +355,8 @@
 		.evacuation_ms = options->evacuation_ms,
 		.lost_zones = options->lost_zones,
 		.seed = g_random_int(),
+		.max_jobs = MAX_JOBS,
+		.max_job_bytes = MAX_JOB_BYTES,
 	};
 
 	lead->options = *options;
@@ -731,6 +739,10 @@
 		      stats.speculative_runs);
 	obs_count_set(metrics, "radishpier_step_moved_total", NULL,
 		      stats.rescheduled);
+	obs_count_set(metrics, "radishpier_step_refused_total",
+		      "reason=\"jobs\"", stats.refused_jobs);
+	obs_count_set(metrics, "radishpier_step_refused_total",
+		      "reason=\"bytes\"", stats.refused_bytes);
 	obs_count_set(metrics, "radishpier_step_commits_total", NULL,
 		      stats.commits);
 	if (lead->options.evacuation_ms)
--- a/sched/call.c
+++ b/sched/call.c
@@ -8,6 +8,8 @@
 #define STATUS_NOT_FOUND 404
 /** No such job, or its retention is over. */
 #define STATUS_GONE 410
+/** Too many jobs are accepted; see admission.c. */
+#define STATUS_TOO_MANY 429
 #define STATUS_UNAVAILABLE 503
 /** Outcome unknown: the change may still become durable. */
 #define STATUS_UNKNOWN 504
@@ -113,6 +115,7 @@
 	struct sch_job *job = g_hash_table_lookup(s->jobs, id);
 	const char *problem;
 	struct Rp__StepJob *spec;
+	guint retry_after_s;
 
 	if (job) {
 		submit_again(s, call_ref, call, job);
@@ -127,6 +130,12 @@
 			  RP__JOB_STATE__JOB_STATE_NONE, 0, 0);
 		return;
 	}
+	retry_after_s = sch_admission_check(s, id, call->job);
+	if (retry_after_s) {
+		sch_reply(s, call_ref, STATUS_TOO_MANY,
+			  RP__JOB_STATE__JOB_STATE_NONE, 0, retry_after_s);
+		return;
+	}
 	spec = wire_message_dup(&call->job->base);
 	wire_set_string(&spec->job_id, id);
 	wire_set_string(&spec->queue, queue->name);
--- a/sched/commit.c
+++ b/sched/commit.c
@@ -189,6 +189,7 @@
 	g_array_set_size(job->pending_calls, 0);
 	g_queue_remove(&s->dirty, job);
 	g_queue_remove(&s->awaited, job);
+	sch_admission_remove(s, job);
 	g_ptr_array_remove(s->active, job);
 	g_hash_table_remove(s->jobs, job->id);
 }
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -341,6 +341,8 @@
 	/** Boot clock. */
 	gint64 accepted_ms;
 	gint64 ended_unix_ms;
+	/** Its part of struct sch.admitted_bytes. */
+	guint64 admitted_bytes;
 	/** A transaction with the job's records took effect; a later one may
 	 * have deleted them. */
 	gboolean stored;
@@ -376,6 +378,13 @@
 	double score;
 };
 
+/** Measured number of jobs that end in a second. */
+struct sch_drain {
+	/** As of updated_ms; all zero before the first end. */
+	double per_s;
+	gint64 updated_ms;
+};
+
 /** State of the leader. Times are boot clock in ms unless named otherwise. */
 struct sch {
 	struct sch_options options;
@@ -399,6 +408,9 @@
 	GHashTable *jobs;
 	/** Jobs that have not ended, in the order of acceptance. */
 	GPtrArray *active;
+	/** Memory of accepted jobs whose tasks are kept. */
+	guint64 admitted_bytes;
+	struct sch_drain drain;
 	/** name to struct sch_vm; owned. */
 	GHashTable *vms;
 	/** Name to struct sch_zone; owned. */
@@ -746,6 +758,21 @@
 GBytes *sch_record_job(const struct sch_job *job);
 GBytes *sch_record_progress(const struct sch_job *job);
 
+/* admission.c */
+/** Counts a job that ended. */
+void sch_drain_add(struct sch_drain *drain, gint64 now_ms);
+double sch_drain_per_s(const struct sch_drain *drain, gint64 now_ms);
+/** Retry-After of a refusal when used of bound is in use and per_s becomes free
+ * in a second; spread is any number that differs between callers. */
+guint sch_admission_retry_after_s(guint64 used, guint64 bound, double per_s,
+				  guint spread);
+void sch_admission_add(struct sch *s, struct sch_job *job);
+void sch_admission_remove(struct sch *s, struct sch_job *job);
+/** Returns 0 if the new job is accepted, else the Retry-After of its refusal.
+ */
+guint sch_admission_check(struct sch *s, const char *id,
+			  const struct Rp__StepJob *spec);
+
 /* call.c */
 void sch_call(struct sch *s, guint64 call_ref, const struct Rp__StepCall *call);
 /** Answers calls that waited for the job's change, which is now durable. */
--- a/sched/job.c
+++ b/sched/job.c
@@ -99,6 +99,7 @@
 	job->accepted_ms = s->now_ms;
 	job->pending_calls = g_array_new(FALSE, FALSE,
 					 sizeof(struct sch_pending_call));
+	sch_admission_add(s, job);
 	return job;
 }
 
@@ -331,6 +332,7 @@
 		return;
 	job->state = state;
 	job->ended_unix_ms = s->unix_ms;
+	sch_drain_add(&s->drain, s->now_ms);
 	g_ptr_array_remove(s->active, job);
 	g_queue_push_tail(&s->ended, job);
 	g_log_structured(
@@ -356,6 +358,7 @@
 			continue;
 		/* Tasks and payload are no longer needed; the next transaction
 		 * deletes them from the store. */
+		sch_admission_remove(s, job);
 		free_occurrences(job);
 		rp__step_job__free_unpacked(job->spec, NULL);
 		job->spec = NULL;
--- a/sched/overload_test.c
+++ b/sched/overload_test.c
@@ -330,6 +330,86 @@
 }
 END_TEST
 
+/*
+ * Guards against a leader whose memory grows until its process ends, a repeat
+ * of an accepted job that is refused, and a refusal although VMs have capacity.
+ */
+START_TEST(test_bound_on_accepted_jobs)
+{
+	struct leader l;
+	guint i;
+
+	setup(&l);
+	l.s->options.max_jobs = 3;
+	for (i = 0; i < 3; i++) {
+		g_autofree char *path = g_strdup_printf("/q/job%u", i);
+
+		submit_tasks(&l, path, 1, 1000, 1000);
+		commit(&l);
+	}
+	confirm_leadership(&l);
+	submit_tasks(&l, "/q/new", 1, 1000, 1000);
+	ck_assert_uint_eq(l.status, 429);
+	ck_assert_uint_eq(l.s->stats.refused_jobs, 1);
+	submit_tasks(&l, "/q/job1", 1, 1000, 1000);
+	ck_assert_uint_eq(l.status, 200);
+	for (i = 0; i < l.s->active->len; i++)
+		((struct sch_job *)l.s->active->pdata[i])->started = TRUE;
+	clear_effects(&l);
+	submit_tasks(&l, "/q/new", 1, 1000, 1000);
+	ck_assert_uint_eq(l.status, 0);
+	commit(&l);
+	ck_assert_uint_eq(l.status, 200);
+	teardown(&l);
+}
+END_TEST
+
+/* Guards against an account of bytes that jobs leave behind when they end. */
+START_TEST(test_bound_on_bytes_of_jobs)
+{
+	struct leader l;
+
+	setup(&l);
+	l.s->options.max_job_bytes = 10000;
+	submit_tasks(&l, "/q/a", 20, 1000, 1000);
+	commit(&l);
+	confirm_leadership(&l);
+	submit_tasks(&l, "/q/b", 20, 1000, 1000);
+	ck_assert_uint_eq(l.status, 429);
+	ck_assert_uint_eq(l.s->stats.refused_bytes, 1);
+	call(&l, RP__STEP_VERB__STEP_VERB_CANCEL, "/q/a", NULL);
+	commit(&l);
+	ck_assert_uint_eq(l.s->admitted_bytes, 0);
+	confirm_leadership(&l);
+	submit_tasks(&l, "/q/b", 20, 1000, 1000);
+	commit(&l);
+	ck_assert_uint_eq(l.status, 200);
+	teardown(&l);
+}
+END_TEST
+
+/* Guards against callers that return before there is room, or all at once. */
+START_TEST(test_retry_after_follows_the_drain_rate)
+{
+	struct sch_drain drain = { 0 };
+	gint64 now_ms = 0;
+	guint i;
+
+	for (i = 0; i < 1000; i++) {
+		now_ms += 250;
+		sch_drain_add(&drain, now_ms);
+	}
+	ck_assert_double_eq_tol(sch_drain_per_s(&drain, now_ms), 4, 0.1);
+	ck_assert_double_lt(sch_drain_per_s(&drain, now_ms + 60000), 0.1);
+	/* 100 of 1000 have to end at 4 in a second; spread over twice that. */
+	ck_assert_uint_eq(sch_admission_retry_after_s(1000, 1000, 4, 0), 25);
+	ck_assert_uint_eq(sch_admission_retry_after_s(1000, 1000, 4, 25), 50);
+	ck_assert_uint_eq(sch_admission_retry_after_s(1000, 1000, 4, 26), 25);
+	ck_assert_uint_eq(sch_admission_retry_after_s(1000, 1000, 0, 0), 30);
+	ck_assert_uint_eq(sch_admission_retry_after_s(1, 1, 100, 0), 1);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("overload");
@@ -344,6 +424,9 @@
 	tcase_add_test(tcase, test_straggler_is_moved);
 	tcase_add_test(tcase, test_cost_of_delay_orders_best_effort_steps);
 	tcase_add_test(tcase, test_largest_tenth_is_served);
+	tcase_add_test(tcase, test_bound_on_accepted_jobs);
+	tcase_add_test(tcase, test_bound_on_bytes_of_jobs);
+	tcase_add_test(tcase, test_retry_after_follows_the_drain_rate);
 	suite_add_tcase(suite, tcase);
 	return fixture_run(suite);
 }
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -84,6 +84,11 @@
 	guint lost_zones;
 	/** Of the random part of Retry-After. */
 	guint32 seed;
+	/** While accepted jobs wait, no job is accepted beyond this number of
+	 * jobs that have not ended, and this memory of theirs; 0 for no bound.
+	 */
+	guint max_jobs;
+	guint64 max_job_bytes;
 };
 
 /** A zone that is out of service. */
@@ -236,6 +241,9 @@
 	guint64 preempted;
 	guint64 speculative_runs;
 	guint64 rescheduled;
+	/** Jobs refused for the bounds in struct sch_options. */
+	guint64 refused_jobs;
+	guint64 refused_bytes;
 	guint64 commits;
 	guint zones_evacuated;
 	/** Starts that were planned or ordered in a zone and were withdrawn
