sched: a log line and a metric for each straggler that is moved

Cause: the log did not say why a best-effort task was stopped. Change: one line for each move (progress, work left, CPU share, time until its job misses the objective), radishpier_step_stragglers_total. The overload, place, cell and model tests pass.

--- a/cell/lead.c
+++ b/cell/lead.c
@@ -739,6 +739,8 @@
 		      stats.speculative_runs);
 	obs_count_set(metrics, "radishpier_step_moved_total", NULL,
 		      stats.rescheduled);
+	obs_count_set(metrics, "radishpier_step_stragglers_total", NULL,
+		      stats.stragglers);
 	obs_count_set(metrics, "radishpier_step_refused_total",
 		      "reason=\"jobs\"", stats.refused_jobs);
 	obs_count_set(metrics, "radishpier_step_refused_total",
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -680,7 +680,8 @@
  * is at percent; expected_ms is its duration if that says too little. */
 double sch_straggler_remaining_ms(double work_ms, guint progress_percent,
 				  guint percent, double expected_ms);
-/** TRUE if the run is to be moved and another VM has room. */
+/** TRUE if the run is to be moved and another VM has room; counts and logs the
+ * move. */
 gboolean sch_is_straggler(struct sch *s, const struct sch_run *run);
 
 /* place.c */
--- a/sched/overload_test.c
+++ b/sched/overload_test.c
@@ -236,6 +236,7 @@
 		tick(&l, 250);
 	}
 	ck_assert_uint_eq(count_orders(&l, TRUE), 1);
+	ck_assert_uint_eq(l.s->stats.stragglers, 1);
 	report(&l, "vm1", 50, stopped, 1);
 	commit(&l);
 	ck_assert_str_eq(task(&l, "a.0.0.0")->runs[0]->vm->name, "vm2");
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -241,6 +241,8 @@
 	guint64 preempted;
 	guint64 speculative_runs;
 	guint64 rescheduled;
+	/** Of these, best-effort tasks that were moved to meet an objective. */
+	guint64 stragglers;
 	/** Jobs refused for the bounds in struct sch_options. */
 	guint64 refused_jobs;
 	guint64 refused_bytes;
--- a/sched/straggler.c
+++ b/sched/straggler.c
@@ -66,6 +66,18 @@
 		run->percent, run->task->instance->step->estimate_ms);
 }
 
+static void log_move(const struct sch_run *run,
+		     const struct sch_straggler *straggler)
+{
+	g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "JOB_ID",
+			 run->task->job->id, "VM", run->vm->name, "MESSAGE",
+			 "%s is moved: at %u %%, needs %.0f ms with all its "
+			 "CPUs and has %.2f of them; its job meets its "
+			 "objective if it ends within %.0f ms",
+			 run->name, run->percent, straggler->remaining_ms,
+			 straggler->cpu_share, straggler->available_ms);
+}
+
 gboolean sch_is_straggler(struct sch *s, const struct sch_run *run)
 {
 	const struct sch_step_instance *instance = run->task->instance;
@@ -89,6 +101,10 @@
 	straggler.available_ms =
 		(double)(sch_order_objective_end_ms(s, instance) - later_ms -
 			 s->now_ms);
-	return sch_straggler_should_move(&straggler) &&
-	       sch_place_has_better(s, run, OTHER_SHARE);
+	if (!sch_straggler_should_move(&straggler) ||
+	    !sch_place_has_better(s, run, OTHER_SHARE))
+		return FALSE;
+	s->stats.stragglers++;
+	log_move(run, &straggler);
+	return TRUE;
 }
