sched: queue time and late starts by priority

Cause: when capacity is insufficient, the metrics did not show which priority waits, and how many jobs start too late for their objective. Change: radishpier_step_first_starts_total, radishpier_step_queue_ms_total and radishpier_step_late_starts_total, by priority. Test: test_first_starts_by_priority. All tests of sched, cell, colo, runs and wire pass.

--- a/cell/lead.c
+++ b/cell/lead.c
@@ -667,6 +667,26 @@
 	dispatch_call(lead, call, pending);
 }
 
+static void update_first_starts(struct obs_metrics *metrics,
+				const struct sch_stats *stats)
+{
+	guint i;
+
+	for (i = 0; i < SCH_PRIORITIES; i++) {
+		const struct sch_first_starts *starts = &stats->first_starts[i];
+		g_autofree char *label = g_strdup_printf("priority=\"%u\"", i);
+
+		if (!starts->count)
+			continue;
+		obs_count_set(metrics, "radishpier_step_first_starts_total",
+			      label, starts->count);
+		obs_count_set(metrics, "radishpier_step_queue_ms_total", label,
+			      starts->queue_ms);
+		obs_count_set(metrics, "radishpier_step_late_starts_total",
+			      label, starts->late);
+	}
+}
+
 static void update_histogram(struct obs_metrics *metrics, const char *name,
 			     const guint64 *buckets)
 {
@@ -754,6 +774,7 @@
 	if (lead->tables_current_ms)
 		obs_gauge(metrics, "radishpier_tables_age_ms", NULL,
 			  (double)(net_now_ms() - lead->tables_current_ms));
+	update_first_starts(metrics, &stats);
 	update_histogram(metrics, "radishpier_step_first_start_ms_bucket",
 			 stats.submit_to_start);
 	update_histogram(metrics, "radishpier_step_done_ms_bucket",
--- a/sched/overload_test.c
+++ b/sched/overload_test.c
@@ -411,6 +411,36 @@
 }
 END_TEST
 
+/* Guards against queue times and late starts that are counted wrongly. */
+START_TEST(test_first_starts_by_priority)
+{
+	static const struct row running[] = {
+		{ "a.0.0.0", 1, RP__RUN_END_KIND__RUN_END_NONE, 0, 1, 1000 },
+		{ "b.0.0.0", 1, RP__RUN_END_KIND__RUN_END_NONE, 0, 1, 1000 },
+	};
+	const struct sch_first_starts *starts;
+	struct leader l;
+
+	setup(&l);
+	((struct sch_queue *)l.s->queues->pdata[0])->priority = 9;
+	submit_tasks(&l, "/q/a", 1, 1000, 1000);
+	commit(&l);
+	/* Its objective is 3 s, so it is late from 2 s on. */
+	tick(&l, 2000);
+	confirm_leadership(&l);
+	submit_tasks(&l, "/q/b", 1, 1000, 1000);
+	add_vm(&l, "vm1");
+	commit(&l);
+	report(&l, "vm1", 50, running, 2);
+	starts = &l.s->stats.first_starts[SCH_PRIORITIES - 1];
+	ck_assert_uint_eq(starts->count, 2);
+	ck_assert_uint_eq(starts->late, 1);
+	ck_assert_uint_ge(starts->queue_ms, 2000);
+	ck_assert_uint_le(starts->queue_ms, 5000);
+	teardown(&l);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("overload");
@@ -428,6 +458,7 @@
 	tcase_add_test(tcase, test_bound_on_accepted_jobs);
 	tcase_add_test(tcase, test_bound_on_bytes_of_jobs);
 	tcase_add_test(tcase, test_retry_after_follows_the_drain_rate);
+	tcase_add_test(tcase, test_first_starts_by_priority);
 	suite_add_tcase(suite, tcase);
 	return fixture_run(suite);
 }
--- a/sched/run.c
+++ b/sched/run.c
@@ -95,6 +95,26 @@
 	sch_vm_order_stop(s, run->vm, run->name, run->attempt);
 }
 
+static void count_first_start(struct sch *s, const struct sch_run *run)
+{
+	const struct sch_step_instance *instance = run->task->instance;
+	const struct sch_job *job = run->task->job;
+	const struct sch_queue *queue = sch_queue_find(s, job->queue);
+	struct sch_first_starts *starts;
+
+	sch_histogram_add(s->stats.submit_to_start,
+			  s->now_ms - job->accepted_ms);
+	if (!queue)
+		return;
+	starts = &s->stats.first_starts[MIN(queue->priority,
+					    SCH_PRIORITIES - 1)];
+	starts->count++;
+	starts->queue_ms += (guint64)MAX(s->now_ms - job->accepted_ms, 0);
+	if (s->now_ms + instance->critical_path_ms >
+	    sch_order_objective_end_ms(s, instance))
+		starts->late++;
+}
+
 void sch_run_started(struct sch *s, struct sch_run *run)
 {
 	struct sch_job *job = run->task->job;
@@ -104,8 +124,7 @@
 	if (job->started)
 		return;
 	job->started = TRUE;
-	sch_histogram_add(s->stats.submit_to_start,
-			  s->now_ms - job->accepted_ms);
+	count_first_start(s, run);
 }
 
 void sch_run_order_start(struct sch *s, struct sch_run *run)
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -222,12 +222,25 @@
 #define SCH_BUCKETS 8
 extern const gint64 sch_bucket_bounds_ms[SCH_BUCKETS - 1];
 
+/** Priorities that are counted separately; lower ones with the last. */
+#define SCH_PRIORITIES 4
+
+/** First starts of jobs of one priority. */
+struct sch_first_starts {
+	guint64 count;
+	/** Sum of the times from submission to the first start. */
+	guint64 queue_ms;
+	/** Jobs whose critical path was too long for the objective by then. */
+	guint64 late;
+};
+
 /** Values for metrics. */
 struct sch_stats {
 	/** Histograms of the time from submission to the first start, and to
 	 * the end of jobs that are done. */
 	guint64 submit_to_start[SCH_BUCKETS];
 	guint64 submit_to_done[SCH_BUCKETS];
+	struct sch_first_starts first_starts[SCH_PRIORITIES];
 	guint jobs_waiting;
 	guint jobs_running;
 	guint jobs_ended;
