sched: do not start a moved task on the VM that it was moved from

Cause: a straggler that was stopped could start on the same VM again, which looked emptier without it. Change: the VM has a placement penalty for the task that was moved from it. Before: test_straggler_is_moved failed 1 of 1 without. After: passes.

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -264,6 +264,8 @@
 	guint n_runs;
 	/** VM of the last failed run; NULL for none. */
 	char *last_failed_vm;
+	/** VM from which the task was last moved; NULL for none. */
+	char *moved_from;
 };
 
 /** A step in one occurrence of a job. Times are boot clock in ms. */
--- a/sched/job.c
+++ b/sched/job.c
@@ -117,6 +117,7 @@
 			for (t = 0; t < instances[k].n_tasks; t++) {
 				g_free(instances[k].tasks[t].checkpoint);
 				g_free(instances[k].tasks[t].last_failed_vm);
+				g_free(instances[k].tasks[t].moved_from);
 			}
 			g_free(instances[k].tasks);
 		}
--- a/sched/move.c
+++ b/sched/move.c
@@ -148,6 +148,8 @@
 		} else if (wants_reschedule(s, run) ||
 			   sch_is_straggler(s, run)) {
 			s->stats.rescheduled++;
+			g_free(run->task->moved_from);
+			run->task->moved_from = g_strdup(vm->name);
 			sch_run_stop(s, run);
 			return;
 		} else if (wants_speculative(s, run)) {
--- a/sched/place.c
+++ b/sched/place.c
@@ -73,6 +73,10 @@
 /** For the VM where the task failed last. */
 #define FAILED_HERE_PENALTY 8.0
 
+/** For the VM from which the task was moved: the reason may still hold, and the
+ * VM looks emptier without the task. */
+#define MOVED_FROM_PENALTY 8.0
+
 /**
  * A best-effort task may take at most this part of the headroom of a
  * latency-sensitive image: with more, a small rise of that image's load would
@@ -321,6 +325,8 @@
 			continue;
 		if (!g_strcmp0(vm->name, task->last_failed_vm))
 			placement.score += FAILED_HERE_PENALTY;
+		if (!g_strcmp0(vm->name, task->moved_from))
+			placement.score += MOVED_FROM_PENALTY;
 		g_array_append_val(s->placements, placement);
 	}
 	if (!s->placements->len)
@@ -504,7 +510,8 @@
 
 		if (!is_idle(task))
 			continue;
-		if (task->failures || may_interfere(s, task)) {
+		if (task->failures || task->moved_from ||
+		    may_interfere(s, task)) {
 			/* Retries have stricter rules, so later tasks may fit
 			 * although this one does not. */
 			if (!plan_choice(s, task) && !task->failures)
