net: less work for each request within the limits

Two causes made the bounds of clients costly for ordinary requests: with a high watermark libevent adds the read event again at each change of the input buffer, about once for each header line, and the account was told of every piece of a response. The watermark is now set only while the buffer is near it, buffer lengths are counted from the callbacks, and the account is told of changes from 1 KiB on.

clients_test (13) and srv_test (58) pass, also sanitized, and client_limits_test (18) and the demo.

--- a/net/clients.c
+++ b/net/clients.c
@@ -23,6 +23,9 @@
  * evhttp sees when a section exceeds its limit. */
 #define PIPELINE_BYTES 8192
 
+/** A change of what a connection holds that is told to the account. */
+#define MIN_CHANGE_BYTES 1024
+
 /** A response of which the client took nothing for this time is unread: the
  * connection may be closed if the account is exceeded. */
 #define UNREAD_MS 1000
@@ -68,11 +71,18 @@
 	gint64 since_ms;
 	/** Bytes of the current line of the header section without CR. */
 	gsize line_len;
-	/** Bytes that evhttp holds of the current request. */
+	/** Bytes in the input and output buffers, and those that evhttp holds
+	 * of the current request. */
+	gsize input_len;
+	gsize output_len;
 	gsize request_len;
+	/** Bytes that the account knows. */
+	gsize counted;
 	/** The input buffer may hold a whole body. */
 	gboolean raised;
 	gsize watermark;
+	/** The watermark is that of the bufferevent, which else has none. */
+	gboolean applied;
 	/** In clients->full. */
 	gboolean full;
 	/** To be closed by on_check(). */
@@ -172,13 +182,17 @@
 	event_active(clients->check_event, 0, 0);
 }
 
-/* Counts what the connection holds now. */
+/* Counts what the connection holds now. Small changes are within the bytes that
+ * the account counts for each holder. */
 static void count_bytes(struct net_client *client)
 {
-	gsize bytes = evbuffer_get_length(bufferevent_get_input(client->bev)) +
-		      evbuffer_get_length(bufferevent_get_output(client->bev)) +
+	gsize bytes = client->input_len + client->output_len +
 		      client->request_len;
 
+	if (bytes < client->counted + MIN_CHANGE_BYTES &&
+	    client->counted < bytes + MIN_CHANGE_BYTES)
+		return;
+	client->counted = bytes;
 	net_account_set_bytes(&client->holder, bytes);
 	if (net_account_needs_enforcement(&client->holder))
 		schedule_check(client->clients);
@@ -189,16 +203,22 @@
 	return clients->options.max_header_bytes + PIPELINE_BYTES;
 }
 
+/*
+ * Sets the bound of the input buffer. libevent is told only while it matters:
+ * with a high watermark it adds the read event again at each change of the
+ * buffer.
+ */
 static void set_watermark(struct net_client *client, gboolean raised)
 {
 	const struct net_clients *clients = client->clients;
-	gsize bytes = pipeline_bytes(clients);
 
-	if (raised)
-		bytes += clients->options.max_body_bytes;
 	client->raised = raised;
-	client->watermark = bytes;
-	bufferevent_setwatermark(client->bev, EV_READ, 0, bytes);
+	client->watermark = pipeline_bytes(clients);
+	if (raised)
+		client->watermark += clients->options.max_body_bytes;
+	client->applied = raised || client->input_len >= client->watermark;
+	bufferevent_setwatermark(client->bev, EV_READ, 0,
+				 client->applied ? client->watermark : 0);
 }
 
 /* Looks for the end of the header section from an offset of the input. */
@@ -291,8 +311,11 @@
 {
 	struct net_client *client = ctx;
 	struct net_clients *clients = client->clients;
-	gsize len = evbuffer_get_length(input);
+	gsize len;
 
+	client->input_len += info->n_added;
+	client->input_len -= info->n_deleted;
+	len = client->input_len;
 	if (client->no_route) {
 		if (info->n_added)
 			evbuffer_drain(input, len);
@@ -302,10 +325,13 @@
 		start_receiving(client, input, len - info->n_added);
 	else if (info->n_added && client->state == STATE_HEADER)
 		scan_header(client, input, len - info->n_added);
-	/* What evhttp takes is held by its request. */
+	/* What evhttp takes is held by its request, so the sum is the same. */
 	if (client->state == STATE_HEADER || client->state == STATE_BODY)
 		client->request_len += info->n_deleted;
-	count_bytes(client);
+	if (info->n_added)
+		count_bytes(client);
+	if (client->applied != (client->raised || len >= client->watermark))
+		set_watermark(client, client->raised);
 	if (len >= client->watermark && !client->full) {
 		client->full = TRUE;
 		g_ptr_array_add(clients->full, client);
@@ -367,16 +393,14 @@
 
 static void end_response(struct net_client *client)
 {
-	struct evbuffer *input = bufferevent_get_input(client->bev);
-
 	client->state = STATE_IDLE;
 	client->request_len = 0;
 	net_account_set_closable(&client->holder, TRUE);
 	/* A client that pipelines its requests is not better than idle ones. */
-	if (evbuffer_get_length(input))
-		start_receiving(client, input, 0);
+	if (client->input_len)
+		start_receiving(client, bufferevent_get_input(client->bev), 0);
 	else
-		net_account_served(&client->holder, net_now_ms());
+		net_account_served(&client->holder, client->since_ms);
 	if (net_account_is_condemned(&client->holder))
 		close_later(client);
 }
@@ -386,6 +410,8 @@
 {
 	struct net_client *client = ctx;
 
+	client->output_len += info->n_added;
+	client->output_len -= info->n_deleted;
 	if (client->replacing)
 		return;
 	if (info->n_added && client->state == STATE_BUSY) {
@@ -395,7 +421,7 @@
 		on_own_output(client, output);
 	}
 	if (info->n_deleted && client->state == STATE_RESPONDING) {
-		if (!evbuffer_get_length(output)) {
+		if (!client->output_len) {
 			end_response(client);
 		} else {
 			client->since_ms = net_now_ms();
@@ -552,7 +578,7 @@
 	output = bufferevent_get_output(client->bev);
 	client->input_cb = evbuffer_add_cb(input, on_input, client);
 	client->output_cb = evbuffer_add_cb(output, on_output, client);
-	set_watermark(client, FALSE);
+	client->watermark = pipeline_bytes(clients);
 	evhttp_connection_set_closecb(evcon, on_connection_closed, client);
 	g_hash_table_insert(clients->by_evcon, evcon, client);
 	g_queue_push_tail_link(&clients->open, &client->link);
