net: keep idle clients while requests in flight exceed the limit

Above the limit of bytes all connections that may be closed were closed, also idle ones of a few KiB, when requests that were passed on exceeded the limit on their own: ordinary callers lost their connections and the excess stayed. Connections with up to 16 KiB are now kept then; larger ones, which are receiving a body, are still closed.

--- a/net/account.c
+++ b/net/account.c
@@ -1,11 +1,17 @@
 #include "account.h"
 
+/** Closing a holder with up to this many bytes does not help while those that
+ * may not be closed exceed the limit on their own. */
+#define SMALL_BYTES (4 * NET_HOLDER_BYTES)
+
 /** What the holders of one address have. */
 struct net_address {
 	char *name;
 	guint holders;
 	guint condemned;
 	guint64 bytes;
+	/** Of the holders that may not be closed. */
+	guint64 fixed_bytes;
 };
 
 struct net_account {
@@ -16,6 +22,7 @@
 	GQueue holders;
 	guint condemned;
 	guint64 bytes;
+	guint64 fixed_bytes;
 };
 
 static void free_address(gpointer data)
@@ -59,11 +66,25 @@
 	return address;
 }
 
+static void add_fixed(struct net_holder *holder, gsize bytes)
+{
+	holder->address->fixed_bytes += bytes;
+	holder->account->fixed_bytes += bytes;
+}
+
+static void subtract_fixed(struct net_holder *holder, gsize bytes)
+{
+	holder->address->fixed_bytes -= bytes;
+	holder->account->fixed_bytes -= bytes;
+}
+
 static void add_bytes(struct net_holder *holder, gsize bytes)
 {
 	holder->bytes += bytes;
 	holder->address->bytes += bytes;
 	holder->account->bytes += bytes;
+	if (!holder->closable)
+		add_fixed(holder, bytes);
 }
 
 static void subtract_bytes(struct net_holder *holder, gsize bytes)
@@ -71,6 +92,8 @@
 	holder->bytes -= bytes;
 	holder->address->bytes -= bytes;
 	holder->account->bytes -= bytes;
+	if (!holder->closable)
+		subtract_fixed(holder, bytes);
 }
 
 void net_account_add(struct net_account *account, struct net_holder *holder,
@@ -117,6 +140,10 @@
 
 void net_account_set_closable(struct net_holder *holder, gboolean closable)
 {
+	if (holder->closable && !closable)
+		add_fixed(holder, holder->bytes);
+	else if (!holder->closable && closable)
+		subtract_fixed(holder, holder->bytes);
 	holder->closable = closable;
 }
 
@@ -139,21 +166,35 @@
 							   : NET_EXCESS_NONE;
 }
 
-enum net_excess net_account_excess(const struct net_holder *holder)
+static gboolean exceeds(const struct net_holder *holder, enum net_excess excess)
 {
 	const struct net_account *account = holder->account;
 	const struct net_account_options *options = &account->options;
 	guint percent = options->address_percent;
 
-	if (account->bytes > options->max_bytes)
-		return NET_EXCESS_BYTES;
-	if (account->holders.length > options->max_holders)
-		return NET_EXCESS_HOLDERS;
-	if (holder->address->bytes > options->max_bytes / 100 * percent)
-		return NET_EXCESS_ADDRESS_BYTES;
-	if ((guint64)holder->address->holders * 100 >
-	    (guint64)options->max_holders * percent)
-		return NET_EXCESS_ADDRESS_HOLDERS;
+	switch (excess) {
+	case NET_EXCESS_BYTES:
+		return account->bytes > options->max_bytes;
+	case NET_EXCESS_HOLDERS:
+		return account->holders.length > options->max_holders;
+	case NET_EXCESS_ADDRESS_BYTES:
+		return holder->address->bytes >
+		       options->max_bytes / 100 * percent;
+	case NET_EXCESS_ADDRESS_HOLDERS:
+		return (guint64)holder->address->holders * 100 >
+		       (guint64)options->max_holders * percent;
+	default:
+		return FALSE;
+	}
+}
+
+enum net_excess net_account_excess(const struct net_holder *holder)
+{
+	int excess;
+
+	for (excess = NET_EXCESS_BYTES; excess < NET_EXCESSES; excess++)
+		if (exceeds(holder, (enum net_excess)excess))
+			return (enum net_excess)excess;
 	return NET_EXCESS_NONE;
 }
 
@@ -179,6 +220,34 @@
 	return a->since_ms < b->since_ms;
 }
 
+/* TRUE if closing the holder would not bring the bytes within the limit. */
+static gboolean is_futile(const struct net_holder *holder,
+			  enum net_excess excess)
+{
+	const struct net_account *account = holder->account;
+	const struct net_account_options *options = &account->options;
+
+	if (!is_of_bytes(excess) || holder->bytes > SMALL_BYTES)
+		return FALSE;
+	if (excess == NET_EXCESS_BYTES)
+		return account->fixed_bytes > options->max_bytes;
+	return holder->address->fixed_bytes >
+	       options->max_bytes / 100 * options->address_percent;
+}
+
+/* Returns the first limit that is exceeded and that closing the holder helps
+ * to keep. */
+static enum net_excess reason_to_close(const struct net_holder *holder)
+{
+	int excess;
+
+	for (excess = NET_EXCESS_BYTES; excess < NET_EXCESSES; excess++)
+		if (exceeds(holder, (enum net_excess)excess) &&
+		    !is_futile(holder, (enum net_excess)excess))
+			return (enum net_excess)excess;
+	return NET_EXCESS_NONE;
+}
+
 struct net_holder *net_account_victim(struct net_account *account,
 				      enum net_excess *excess)
 {
@@ -188,7 +257,7 @@
 	*excess = NET_EXCESS_NONE;
 	for (link = account->holders.head; link; link = link->next) {
 		struct net_holder *holder = link->data;
-		enum net_excess exceeded = net_account_excess(holder);
+		enum net_excess exceeded = reason_to_close(holder);
 
 		if (!exceeded || !holder->closable)
 			continue;
