sched: move starved best-effort tasks whatever the objective of their job

Cause: a task was moved only if its job could still meet its objective, by a projection over steps that are only estimated. Change: a task that saves its progress and has at most half of its CPUs is moved if it then ends 1.2 s earlier. The measured work of a run is not needed any more.

--- a/sched/interfere.c
+++ b/sched/interfere.c
@@ -192,12 +192,6 @@
 	double declared = declared_cpus(run);
 
 	run->used_cpus = (double)used_milli / 1000;
-	if (!run->work_updated_ms)
-		run->work_from_percent = run->percent;
-	else if (declared > 0)
-		run->work_ms += (double)(s->now_ms - run->work_updated_ms) *
-				CLAMP(run->used_cpus / declared, 0, 1);
-	run->work_updated_ms = s->now_ms;
 	/* A job may declare no CPUs. */
 	if (declared > 0)
 		s->best_effort_cpu_share +=
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -244,11 +244,6 @@
 	 * CPU share or was first measured; 0 if nothing was reported yet. */
 	double used_cpus;
 	gint64 min_share_met_ms;
-	/** Work done since the first measurement, time x CPU share, and the
-	 * progress at that time. */
-	double work_ms;
-	guint work_from_percent;
-	gint64 work_updated_ms;
 };
 
 struct sch_task {
@@ -664,24 +659,19 @@
 /* straggler.c */
 /** A best-effort task that runs. */
 struct sch_straggler {
-	/** Work left, and that of the whole task, as time with all its CPUs. */
+	/** Work left, as time with all its CPUs. */
 	double remaining_ms;
-	double full_ms;
 	/** Present CPU share, 0 to 1. */
 	double cpu_share;
 	guint percent;
+	/** Time since its start. */
+	gint64 age_ms;
 	/** Another run continues from its checkpoint. */
 	gboolean saves_progress;
-	/** Time in which it has to end for its job to meet the objective. */
-	double available_ms;
 };
 
-/** TRUE if the job misses its objective unless the task is moved. */
+/** TRUE if the task would end much earlier on another VM. */
 gboolean sch_straggler_should_move(const struct sch_straggler *straggler);
-/** Work left of a task that has done work_ms for progress_percent of itself and
- * is at percent; expected_ms is its duration if that says too little. */
-double sch_straggler_remaining_ms(double work_ms, guint progress_percent,
-				  guint percent, double expected_ms);
 /** TRUE if the run is to be moved and another VM has room; counts and logs the
  * move. */
 gboolean sch_is_straggler(struct sch *s, const struct sch_run *run);
@@ -731,6 +721,9 @@
 GBytes *sch_interference_record(struct sch *s);
 
 /* move.c */
+/** Expected duration of the run: the mean of its step's tasks, or else that of
+ * its queue. */
+gint64 sch_expected_ms(struct sch *s, const struct sch_run *run);
 /** Stops runs that should start again on another VM, if a check is due. */
 void sch_reschedule(struct sch *s);
 /** Stops runs of queues with a lower priority, as many as the step's idle tasks
--- a/sched/move.c
+++ b/sched/move.c
@@ -36,7 +36,7 @@
 #define SPECULATIVE_FACTOR 2.0
 #define SPECULATIVE_MIN_MS 400
 
-static gint64 expected_ms(struct sch *s, const struct sch_run *run)
+gint64 sch_expected_ms(struct sch *s, const struct sch_run *run)
 {
 	const struct sch_step_instance *instance = run->task->instance;
 
@@ -73,7 +73,7 @@
 		return;
 	}
 	if (remaining < 0)
-		remaining = expected_ms(s, run);
+		remaining = sch_expected_ms(s, run);
 	if (remaining <= available_ms)
 		return;
 	/* A stop makes a checkpoint, so such a run is stopped as late as
@@ -90,9 +90,9 @@
 	if (run->state != SCH_RUN_RUNNING || step->lasts || step->fills ||
 	    step->gang)
 		return FALSE;
-	limit_ms = MAX(
-		STALLED_MIN_MS,
-		(gint64)(STALLED_FACTOR * (double)expected_ms(s, run) / 10));
+	limit_ms = MAX(STALLED_MIN_MS,
+		       (gint64)(STALLED_FACTOR *
+				(double)sch_expected_ms(s, run) / 10));
 	/* Without recent run lists, the progress is not known. */
 	return s->now_ms - MAX(run->percent_ms, run->state_ms) > limit_ms &&
 	       s->now_ms - run->vm->last_report_ms < SCH_REPORT_MAX_AGE_MS &&
@@ -120,9 +120,9 @@
 	return step->speculative && run->task->n_runs == 1 && !run->stopping &&
 	       run->state == SCH_RUN_RUNNING &&
 	       elapsed_ms > MAX((gint64)(SPECULATIVE_FACTOR *
-					 (double)expected_ms(s, run)),
+					 (double)sch_expected_ms(s, run)),
 				SPECULATIVE_MIN_MS) &&
-	       remaining_ms(s, run) > expected_ms(s, run);
+	       remaining_ms(s, run) > sch_expected_ms(s, run);
 }
 
 static void reschedule_from(struct sch *s, struct sch_vm *vm)
