--- a/radishpier/cli.h
+++ b/radishpier/cli.h
@@ -35,6 +35,9 @@
 GPtrArray *cli_kv_range(struct cli_kv *cli, const char *prefix, gboolean exact,
 			GError **error);
 
+/** Returns 1 if the key has this value, 0 if not, -1 if the read failed. */
+int cli_kv_has_value(struct cli_kv *cli, const char *key, GBytes *value);
+
 /** Returns 1 if applied, 0 if a comparison failed, -1 with a KV_ERROR. */
 int cli_kv_txn(struct cli_kv *cli, const struct kv_txn *txn, GError **error);
 
--- a/radishpier/cli_evacuate.c
+++ b/radishpier/cli_evacuate.c
@@ -191,13 +191,8 @@
 static int is_in_history(struct cli_kv *cli, const struct change *change)
 {
 	g_autofree char *key = evac_history_key(change->next->generation);
-	g_autoptr(GPtrArray) pairs = cli_kv_range(cli, key, TRUE, NULL);
-	const struct kv_pair *pair;
 
-	if (!pairs)
-		return -1;
-	pair = pairs->len ? pairs->pdata[0] : NULL;
-	return pair && g_bytes_equal(pair->value, change->history);
+	return cli_kv_has_value(cli, key, change->history);
 }
 
 /*
--- a/radishpier/cli_kv.c
+++ b/radishpier/cli_kv.c
@@ -85,6 +85,17 @@
 	call->succeeded = result && result->succeeded;
 }
 
+int cli_kv_has_value(struct cli_kv *cli, const char *key, GBytes *value)
+{
+	g_autoptr(GPtrArray) pairs = cli_kv_range(cli, key, TRUE, NULL);
+	const struct kv_pair *pair;
+
+	if (!pairs)
+		return -1;
+	pair = pairs->len ? pairs->pdata[0] : NULL;
+	return pair && g_bytes_equal(pair->value, value);
+}
+
 int cli_kv_txn(struct cli_kv *cli, const struct kv_txn *txn, GError **error)
 {
 	struct call_result call = { .error = error };
