tests: keep the platform's store protocol in platform/

Cause: the stand-in for the platform's store of client_limits_test was in standin/, so names of the platform stood outside platform/, and the test needed serve-platform also in a tree without that folder. Change: the stand-in is platform/store_standin_test.h; without the folder only the cases of serve are built. Crowd, bounds and checks are unchanged.

--- a/tests/client_limits_test.c
+++ b/tests/client_limits_test.c
@@ -9,11 +9,14 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "standin/platform_kv.h"
 #include "standin/port.h"
 #include "standin/site_internal.h"
 #include "tests/site_fixture.h"
 
+#ifdef RADISHPIER_PLATFORM
+#include "platform/store_standin_test.h"
+#endif
+
 /*
  * Clients that keep to no limit, against both front ends as real processes.
  * Each case guards against a process that such clients bring down, let grow
@@ -196,6 +199,7 @@
 	wait_ready(front);
 }
 
+#ifdef RADISHPIER_PLATFORM
 /* Writes a configuration with one route, so that other paths have none. */
 static void write_tables(const struct front *front)
 {
@@ -236,7 +240,7 @@
 	front->dir = g_dir_make_tmp("radishpier-XXXXXX", NULL);
 	front->address = g_strdup_printf("127.0.0.1:%d", port_new());
 	front->store_address = g_strdup_printf("127.0.0.1:%d", port_new());
-	front->store = platform_kv_start(front->store_address);
+	front->store = store_standin_start(front->store_address);
 	write_tables(front);
 	settings = g_build_filename(front->dir, "settings.json", NULL);
 	log = g_build_filename(front->dir, "entry.log", NULL);
@@ -252,23 +256,32 @@
 	front->pid = spawn(args, settings, log);
 	wait_ready(front);
 }
+#endif
 
-static void stop_front(struct front *front)
+#ifdef RADISHPIER_PLATFORM
+static void stop_serve_platform(struct front *front)
 {
-	g_autofree char *command = NULL;
+	g_autofree char *settings = NULL;
+	g_autofree char *log = NULL;
 
-	if (front->site) {
+	store_standin_stop(front->pid);
+	store_standin_stop(front->store);
+	settings = g_build_filename(front->dir, "settings.json", NULL);
+	log = g_build_filename(front->dir, "entry.log", NULL);
+	unlink(settings);
+	unlink(log);
+	rmdir(front->dir);
+}
+#endif
+
+static void stop_front(struct front *front)
+{
+	if (front->site)
 		site_free(front->site);
-	} else {
-		platform_kv_stop(front->pid);
-		platform_kv_stop(front->store);
-		command = g_strdup_printf("%s/settings.json", front->dir);
-		unlink(command);
-		g_free(command);
-		command = g_strdup_printf("%s/entry.log", front->dir);
-		unlink(command);
-		rmdir(front->dir);
-	}
+#ifdef RADISHPIER_PLATFORM
+	else
+		stop_serve_platform(front);
+#endif
 	g_free(front->address);
 	g_free(front->dir);
 	g_free(front->store_address);
@@ -421,6 +434,7 @@
 }
 END_TEST
 
+#ifdef RADISHPIER_PLATFORM
 START_TEST(test_serve_platform)
 {
 	struct front front = { 0 };
@@ -430,6 +444,7 @@
 	stop_front(&front);
 }
 END_TEST
+#endif
 
 int main(void)
 {
@@ -438,7 +453,9 @@
 
 	tcase_set_timeout(tcase, 90);
 	fixture_add_loop(tcase, test_serve, G_N_ELEMENTS(cases));
+#ifdef RADISHPIER_PLATFORM
 	fixture_add_loop(tcase, test_serve_platform, G_N_ELEMENTS(cases));
+#endif
 	suite_add_tcase(suite, tcase);
 	return fixture_run(suite);
 }
