--- a/review/standin-2/rig.h
+++ b/review/standin-2/rig.h
@@ -115,7 +115,7 @@
 /** From now on runs end as failed after this time; 0: no more. */
 void rig_worker_fail_after(struct rig_worker *worker, gint64 ms);
 const char *rig_worker_id(const struct rig_worker *worker);
-/** Resources that its runs take now, thousandths of a core. */
+/** Number of tasks that it runs now. */
 int rig_worker_used(const struct rig_worker *worker);
 /** Time of the last renewal of its lease by an agent, rig_ms(). */
 gint64 rig_worker_held_ms(const struct rig_worker *worker);
