--- a/review/standin-2/grey_worker_main.c
+++ b/review/standin-2/grey_worker_main.c
@@ -3,14 +3,14 @@
 #include <string.h>
 
 /*
- * One worker of eleven fails all that it starts for some seconds, with good
+ * One worker of twelve fails all that it starts for some seconds, with good
  * heartbeats, and is sound again after that. Meanwhile a job is handed in whose
  * task needs this worker's label, and fails once of the three times that it
  * may. Judged: the job gets done. Ordinary jobs come all the while.
  */
 
 #define N_ENTRIES 3
-#define N_WORKERS 11
+#define N_WORKERS 12
 #define GREY_MS 6500
 #define ID "5c0e7a21d94b36f8"
 #define WAIT_MS 60000
