review: case 6 hands in jobs for 30 s longer

On arm64 the script held in one of five runs: when the hand-in ended, at 45 s, a leader had just room for the 96 schedules, and no further job came.

--- a/review/standin-2/schedules_main.c
+++ b/review/standin-2/schedules_main.c
@@ -17,7 +17,7 @@
 #define INTERVAL_MS (360 * 1000)
 #define TIMES 87600
 #define N_SCHEDULES 130
-#define HAND_IN_UNTIL_MS 45000
+#define HAND_IN_UNTIL_MS 75000
 /** The site's clients hand in 7.9 jobs a second. */
 #define PAUSE_MS 150
 #define WATCH_MS 10000
