--- a/review/standin-2/grey_worker_main.c
+++ b/review/standin-2/grey_worker_main.c
@@ -6,8 +6,8 @@
  * One worker of twelve fails all that it starts for some seconds, with good
  * heartbeats, and is sound again after that. Meanwhile a job is handed in whose
  * task needs this worker's label, and fails once of the three times that it
- * may. Judged, from finish_s after the traffic: the job is done or runs within 3 s.
- * Ordinary jobs come all the while.
+ * may. Ordinary jobs come all the while. Judged, from finish_s after the
+ * traffic: the job is done or runs within 3 s.
  */
 
 #define N_ENTRIES 3
