sched: keep only open occurrences of a schedule in memory

Cause: a job had 32 bytes for each of its occurrences, also when it was loaded, and each tick went over all of them. Occurrences that had ended kept their tasks in memory and in the record, and all due ones were opened at once.

Ruled out: the size of the records (about 100 bytes each), and memory of calls or connections (the process without schedules has 4 MB).

Change: a job has the number of its next occurrence and its open ones, at most as many as have 4,096 tasks, or one. Records name the open occurrences; those of earlier versions are still read.

--- a/sched/commit.c
+++ b/sched/commit.c
@@ -190,7 +190,10 @@
 	g_queue_remove(&s->dirty, job);
 	g_queue_remove(&s->awaited, job);
 	sch_admission_remove(s, job);
+	sch_occurrence_free_all(s, job);
 	g_ptr_array_remove(s->active, job);
+	while (g_ptr_array_remove_fast(s->closing, job))
+		;
 	g_hash_table_remove(s->jobs, job->id);
 }
 
--- a/sched/interfere.c
+++ b/sched/interfere.c
@@ -163,7 +163,7 @@
 	if (order)
 		return order;
 	if (x->occurrence != y->occurrence)
-		return x->occurrence < y->occurrence ? -1 : 1;
+		return x->occurrence->number < y->occurrence->number ? -1 : 1;
 	return (x->number > y->number) - (x->number < y->number);
 }
 
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -13,9 +13,12 @@
 #define SCH_MAX_STEPS 64
 #define SCH_MAX_REPLICAS 4096
 #define SCH_MAX_TASKS 16384
-#define SCH_MAX_OCCURRENCES 100000
+#define SCH_MAX_OCCURRENCES G_MAXINT32
 #define SCH_MAX_PAYLOAD_BYTES 4000
 
+/** Occurrences start this long after their due time, since clocks differ. */
+#define SCH_DUE_SLACK_MS 120
+
 /** Workers cap the leases that they accept at this. */
 #define SCH_MAX_LEASE_MS 10000
 
@@ -271,7 +274,7 @@
 	 * latency-sensitive one has target_ms > 0.
 	 */
 	const struct Rp__StepSpec *step;
-	guint32 occurrence;
+	struct sch_occurrence *occurrence;
 	/** Number of the step in its job. */
 	guint32 number;
 	struct sch_task *tasks;
@@ -298,14 +301,20 @@
 	gboolean awaits_zone;
 };
 
+/** An occurrence that was opened: its steps and tasks are in memory. */
 struct sch_occurrence {
-	/** One for each step; NULL until it is due or a task is looked up. */
+	/** Counted from 0. */
+	guint32 number;
+	/** One for each step. */
 	struct sch_step_instance *instances;
-	/** 0 for a job without times, which is due at once. */
-	gint64 due_unix_ms;
 	/** When it became due, boot clock; 0 if it has not yet. */
 	gint64 due_ms;
 	guint instances_left;
+	guint n_runs;
+	/** It has become due or a step was done, so more steps may be ready. */
+	gboolean advance_due;
+	/** Its part of struct sch.backlog_tasks. */
+	guint backlog_tasks;
 };
 
 /** A call that is answered once a change is durable. */
@@ -325,9 +334,16 @@
 	Rp__JobState state;
 	/** The last durable state: callers learn of the job's end from it. */
 	Rp__JobState durable_state;
-	struct sch_occurrence *occurrences;
+	/** Open occurrences in the order of their numbers: struct
+	 * sch_occurrence; owned. */
+	GPtrArray *open;
 	guint n_occurrences;
-	guint occurrences_left;
+	/** Occurrences with lower numbers were opened, and have ended unless
+	 * they are in open. */
+	guint next_occurrence;
+	/** Ended occurrences from next_occurrence on, in order: guint32; NULL
+	 * for none. */
+	GArray *ended_ahead;
 	guint n_runs;
 	/** Duration of the critical path of one occurrence. */
 	gint64 critical_path_ms;
@@ -405,8 +421,11 @@
 	GHashTable *jobs;
 	/** Jobs that have not ended, in the order of acceptance. */
 	GPtrArray *active;
-	/** Memory of accepted jobs whose tasks are kept. */
+	/** Memory of accepted jobs whose tasks are kept, with one open
+	 * occurrence of each. */
 	guint64 admitted_bytes;
+	/** Tasks of open occurrences beyond the first of each job. */
+	guint backlog_tasks;
 	struct sch_drain drain;
 	/** name to struct sch_vm; owned. */
 	GHashTable *vms;
@@ -505,23 +524,49 @@
  * not. */
 const char *sch_job_check(const struct Rp__StepJob *spec);
 gboolean sch_job_has_ended(const struct sch_job *job);
-/** Returns NULL if there is no such task; *job is set to the job, or to NULL if
- * it does not exist. */
+/** Returns NULL if there is no such task in an open occurrence; *job is set to
+ * the job, or to NULL if it does not exist. */
 struct sch_task *sch_job_task(struct sch *s, const char *name,
 			      struct sch_job **job);
 /** Makes steps ready whose time has come and whose predecessors are done. */
 void sch_job_advance(struct sch *s, struct sch_job *job);
 /** Ends the job and stops all its runs; no effect if it has ended. */
 void sch_job_end(struct sch *s, struct sch_job *job, Rp__JobState state);
-/** Frees the tasks of ended jobs that have no runs left. */
+/** Frees the tasks of ended jobs and occurrences that have no runs left. */
 void sch_job_close_ended(struct sch *s);
-/** Calls fn for each task of the occurrences that have instances. */
+/** Calls fn for each task of the open occurrences. */
 void sch_job_foreach_task(const struct sch_job *job,
 			  void (*fn)(void *ctx, struct sch_task *task),
 			  void *ctx);
 void sch_job_stop_runs(struct sch *s, struct sch_job *job);
 void sch_task_set_checkpoint(struct sch_task *task, const char *checkpoint);
 
+/* schedule.c */
+/** When the occurrence is due, Unix time in ms; 0 if it is due at once. */
+gint64 sch_occurrence_due_unix_ms(const struct sch_job *job, guint32 number);
+/** Returns the open occurrence with this number, or NULL. */
+struct sch_occurrence *sch_occurrence_find(const struct sch_job *job,
+					   guint32 number);
+/** Opens the occurrences that are due, as far as the bounds on open ones allow.
+ */
+void sch_occurrence_open_due(struct sch *s, struct sch_job *job);
+/** Returns the occurrence of a stored task, which is opened if it has not
+ * ended; else NULL. */
+struct sch_occurrence *sch_occurrence_load(struct sch *s, struct sch_job *job,
+					   guint32 number);
+/** Frees the ended occurrences that have no runs left. */
+void sch_occurrence_close_ended(struct sch *s, struct sch_job *job);
+/** TRUE if all occurrences have ended. */
+gboolean sch_occurrence_all_ended(const struct sch_job *job);
+/** Frees all open occurrences; s may be NULL when the leader is freed. */
+void sch_occurrence_free_all(struct sch *s, struct sch_job *job);
+/** Sets which occurrences are open and which have ended, as stored. */
+void sch_occurrence_load_schedule(struct sch *s, struct sch_job *job,
+				  const struct Rp__StepProgress *progress);
+/** Adds the same to a record; the caller frees the two lists. */
+void sch_occurrence_save_schedule(const struct sch_job *job,
+				  struct Rp__StepProgress *progress);
+
 /* run.c */
 struct sch_run *sch_run_new(struct sch *s, struct sch_task *task,
 			    struct sch_vm *vm, guint32 attempt);
--- a/sched/job.c
+++ b/sched/job.c
@@ -2,9 +2,6 @@
 
 /* Jobs, their steps and tasks: which are ready, and when a job has ended. */
 
-/** Occurrences start this long after their due time, since clocks differ. */
-#define DUE_SLACK_MS 120
-
 gboolean sch_job_has_ended(const struct sch_job *job)
 {
 	return job->state == RP__JOB_STATE__JOB_STATE_DONE ||
@@ -38,8 +35,8 @@
 		return "number of steps out of range";
 	if (spec->payload.len > SCH_MAX_PAYLOAD_BYTES)
 		return "payload too long";
-	if (spec->occurrences > SCH_MAX_OCCURRENCES)
-		return "number of occurrences out of range";
+	if (spec->occurrences > SCH_MAX_OCCURRENCES || spec->interval_ms < 0)
+		return "schedule out of range";
 	for (i = 0; i < spec->n_steps; i++) {
 		problem = check_step(spec, i);
 		if (problem)
@@ -49,39 +46,10 @@
 	return tasks > SCH_MAX_TASKS ? "too many tasks" : NULL;
 }
 
-static void init_instances(struct sch *s, struct sch_job *job,
-			   struct sch_occurrence *occurrence, guint32 number)
-{
-	size_t i;
-	guint k;
-
-	occurrence->instances = g_new0(struct sch_step_instance,
-				       job->spec->n_steps);
-	occurrence->instances_left = (guint)job->spec->n_steps;
-	for (i = 0; i < job->spec->n_steps; i++) {
-		struct sch_step_instance *instance = &occurrence->instances[i];
-
-		instance->job = job;
-		instance->step = job->spec->steps[i];
-		instance->image = colo_image_id(s->colo, instance->step->image);
-		instance->occurrence = number;
-		instance->number = (guint32)i;
-		instance->n_tasks = instance->step->replicas;
-		instance->n_idle = instance->n_tasks;
-		instance->tasks = g_new0(struct sch_task, instance->n_tasks);
-		for (k = 0; k < instance->n_tasks; k++) {
-			instance->tasks[k].job = job;
-			instance->tasks[k].instance = instance;
-			instance->tasks[k].index = k;
-		}
-	}
-}
-
 struct sch_job *sch_job_new(struct sch *s, const char *id,
 			    struct Rp__StepJob *spec)
 {
 	struct sch_job *job = g_new0(struct sch_job, 1);
-	guint i;
 
 	job->id = g_strdup(id);
 	job->queue = g_strdup(spec->queue);
@@ -89,13 +57,7 @@
 	job->state = RP__JOB_STATE__JOB_STATE_QUEUED;
 	job->durable_state = RP__JOB_STATE__JOB_STATE_NONE;
 	job->n_occurrences = MAX(spec->occurrences, 1);
-	job->occurrences_left = job->n_occurrences;
-	job->occurrences = g_new0(struct sch_occurrence, job->n_occurrences);
-	for (i = 0; i < job->n_occurrences; i++)
-		if (spec->occurrences)
-			job->occurrences[i].due_unix_ms =
-				spec->first_unix_ms +
-				(gint64)i * spec->interval_ms;
+	job->open = g_ptr_array_new();
 	job->accepted_ms = s->now_ms;
 	job->pending_calls = g_array_new(FALSE, FALSE,
 					 sizeof(struct sch_pending_call));
@@ -103,32 +65,11 @@
 	return job;
 }
 
-static void free_occurrences(struct sch_job *job)
-{
-	guint i;
-	size_t k;
-	guint t;
-
-	for (i = 0; job->occurrences && i < job->n_occurrences; i++) {
-		struct sch_step_instance *instances =
-			job->occurrences[i].instances;
-
-		for (k = 0; instances && k < job->spec->n_steps; k++) {
-			for (t = 0; t < instances[k].n_tasks; t++) {
-				g_free(instances[k].tasks[t].checkpoint);
-				g_free(instances[k].tasks[t].last_failed_vm);
-				g_free(instances[k].tasks[t].moved_from);
-			}
-			g_free(instances[k].tasks);
-		}
-		g_free(instances);
-	}
-	g_clear_pointer(&job->occurrences, g_free);
-}
-
 void sch_job_free(struct sch_job *job)
 {
-	free_occurrences(job);
+	sch_occurrence_free_all(NULL, job);
+	if (job->open)
+		g_ptr_array_unref(job->open);
 	if (job->spec)
 		rp__step_job__free_unpacked(job->spec, NULL);
 	g_array_unref(job->pending_calls);
@@ -155,26 +96,24 @@
 {
 	const char *rest = strchr(name, '.');
 	g_autofree char *id = rest ? g_strndup(name, rest - name) : NULL;
-	gint64 occurrence;
+	struct sch_occurrence *occurrence;
+	gint64 number;
 	gint64 step;
 	gint64 index;
-	struct sch_step_instance *instance;
 
 	*job = id ? g_hash_table_lookup(s->jobs, id) : NULL;
 	if (!*job || !(*job)->spec)
 		return NULL;
-	occurrence = next_number(&rest);
+	number = next_number(&rest);
 	step = next_number(&rest);
 	index = next_number(&rest);
-	if (occurrence < 0 || step < 0 || index < 0 || *rest ||
-	    occurrence >= (*job)->n_occurrences ||
-	    (size_t)step >= (*job)->spec->n_steps)
+	if (number < 0 || step < 0 || index < 0 || *rest)
 		return NULL;
-	if (!(*job)->occurrences[occurrence].instances)
-		init_instances(s, *job, &(*job)->occurrences[occurrence],
-			       (guint32)occurrence);
-	instance = &(*job)->occurrences[occurrence].instances[step];
-	return index < instance->n_tasks ? &instance->tasks[index] : NULL;
+	occurrence = sch_occurrence_find(*job, (guint32)number);
+	if (!occurrence || (size_t)step >= (*job)->spec->n_steps ||
+	    index >= occurrence->instances[step].n_tasks)
+		return NULL;
+	return &occurrence->instances[step].tasks[index];
 }
 
 void sch_task_set_checkpoint(struct sch_task *task, const char *checkpoint)
@@ -230,57 +169,56 @@
 	}
 }
 
-static void make_ready(struct sch *s, struct sch_job *job, guint number)
+/* Makes steps of an occurrence that was opened ready, unless this leader's
+ * clock is behind that of the one which has opened it. */
+static void advance_occurrence(struct sch *s, struct sch_job *job,
+			       struct sch_occurrence *occurrence)
 {
-	struct sch_occurrence *occurrence = &job->occurrences[number];
+	gint64 late_ms = s->unix_ms -
+			 sch_occurrence_due_unix_ms(job, occurrence->number);
 	size_t i;
 
 	if (!occurrence->due_ms) {
-		if (occurrence->due_unix_ms &&
-		    s->unix_ms < occurrence->due_unix_ms + DUE_SLACK_MS)
+		if (job->spec->occurrences && late_ms < SCH_DUE_SLACK_MS)
 			return;
+		/* An occurrence may be opened long after it was due. */
 		occurrence->due_ms = s->now_ms;
-		if (!occurrence->instances)
-			init_instances(s, job, occurrence, number);
+		if (job->spec->occurrences)
+			occurrence->due_ms -= MIN(late_ms - SCH_DUE_SLACK_MS,
+						  s->now_ms - 1);
 		set_critical_paths(s, job, occurrence);
 	}
-	g_assert(occurrence->instances);
+	occurrence->advance_due = FALSE;
+	occurrence->instances_left = 0;
 	for (i = 0; i < job->spec->n_steps; i++) {
 		struct sch_step_instance *instance = &occurrence->instances[i];
 
+		if (instance->n_done < instance->n_tasks)
+			occurrence->instances_left++;
 		if (instance->ready_ms ||
 		    !predecessors_done(occurrence, instance))
 			continue;
 		instance->ready_ms = s->now_ms;
 		s->place_due = TRUE;
 	}
+	if (!occurrence->instances_left)
+		g_ptr_array_add(s->closing, job);
 }
 
 void sch_job_advance(struct sch *s, struct sch_job *job)
 {
-	guint left = 0;
 	guint i;
-	size_t k;
 
 	if (sch_job_has_ended(job) || !job->spec)
 		return;
-	for (i = 0; i < job->n_occurrences; i++) {
-		struct sch_occurrence *occurrence = &job->occurrences[i];
+	sch_occurrence_open_due(s, job);
+	for (i = 0; i < job->open->len; i++) {
+		struct sch_occurrence *occurrence = job->open->pdata[i];
 
-		if (occurrence->instances && !occurrence->instances_left)
-			continue;
-		make_ready(s, job, i);
-		occurrence->instances_left = (guint)job->spec->n_steps;
-		for (k = 0; occurrence->instances && k < job->spec->n_steps;
-		     k++)
-			if (occurrence->instances[k].n_done ==
-			    occurrence->instances[k].n_tasks)
-				occurrence->instances_left--;
-		if (occurrence->instances_left)
-			left++;
+		if (occurrence->advance_due)
+			advance_occurrence(s, job, occurrence);
 	}
-	job->occurrences_left = left;
-	if (!left)
+	if (sch_occurrence_all_ended(job))
 		sch_job_end(s, job, RP__JOB_STATE__JOB_STATE_DONE);
 }
 
@@ -292,13 +230,12 @@
 	size_t k;
 	guint t;
 
-	for (i = 0; job->spec && i < job->n_occurrences; i++) {
-		struct sch_step_instance *instances =
-			job->occurrences[i].instances;
+	for (i = 0; job->spec && i < job->open->len; i++) {
+		struct sch_occurrence *occurrence = job->open->pdata[i];
 
-		for (k = 0; instances && k < job->spec->n_steps; k++)
-			for (t = 0; t < instances[k].n_tasks; t++)
-				fn(ctx, &instances[k].tasks[t]);
+		for (k = 0; k < job->spec->n_steps; k++)
+			for (t = 0; t < occurrence->instances[k].n_tasks; t++)
+				fn(ctx, &occurrence->instances[k].tasks[t]);
 	}
 }
 
@@ -355,12 +292,18 @@
 	for (i = 0; i < s->closing->len; i++) {
 		struct sch_job *job = s->closing->pdata[i];
 
-		if (!job->spec || job->n_runs)
+		if (!job->spec)
+			continue;
+		if (!sch_job_has_ended(job)) {
+			sch_occurrence_close_ended(s, job);
+			continue;
+		}
+		if (job->n_runs)
 			continue;
 		/* Tasks and payload are no longer needed; the next transaction
 		 * deletes them from the store. */
 		sch_admission_remove(s, job);
-		free_occurrences(job);
+		sch_occurrence_free_all(s, job);
 		rp__step_job__free_unpacked(job->spec, NULL);
 		job->spec = NULL;
 		sch_job_mark_dirty(s, job);
--- a/sched/leader_test.h
+++ b/sched/leader_test.h
@@ -286,7 +286,7 @@
 	call(l, RP__STEP_VERB__STEP_VERB_SUBMIT, path, &job);
 }
 
-static struct sch_task *task(struct leader *l, const char *name)
+G_GNUC_UNUSED static struct sch_task *task(struct leader *l, const char *name)
 {
 	struct sch_job *job;
 	struct sch_task *found = sch_job_task(l->s, name, &job);
--- a/sched/order.c
+++ b/sched/order.c
@@ -65,11 +65,8 @@
 /* When the job, or its occurrence, could start. */
 static gint64 from_ms(const struct sch_step_instance *instance)
 {
-	const struct sch_occurrence *occurrence =
-		&instance->job->occurrences[instance->occurrence];
-
-	return occurrence->due_unix_ms ? occurrence->due_ms
-				       : instance->job->accepted_ms;
+	return instance->job->spec->occurrences ? instance->occurrence->due_ms
+						: instance->job->accepted_ms;
 }
 
 gint64 sch_order_objective_end_ms(const struct sch *s,
@@ -141,32 +138,40 @@
 	       instance->failures >= MAX(queue->max_attempts, 1);
 }
 
-static void add_job(struct sch *s, GArray *candidates, struct sch_job *job)
+/* Adds the steps of an occurrence; returns FALSE if its job has failed. */
+static gboolean add_occurrence(struct sch *s, GArray *candidates,
+			       const struct sch_queue *queue, gint64 objective,
+			       const struct sch_occurrence *occurrence)
 {
-	const struct sch_queue *queue = sch_queue_find(s, job->queue);
-	gint64 objective;
-	guint i;
-	size_t k;
+	struct sch_job *job = occurrence->instances[0].job;
+	size_t i;
 
-	if (!queue)
-		return;
-	objective = objective_ms(job, queue);
-	for (i = 0; i < job->n_occurrences; i++) {
-		struct sch_step_instance *instances =
-			job->occurrences[i].instances;
-
-		for (k = 0; instances && k < job->spec->n_steps; k++) {
-			if (!instances[k].ready_ms || !instances[k].n_idle)
-				continue;
-			if (is_exhausted(&instances[k], queue)) {
-				sch_job_end(s, job,
-					    RP__JOB_STATE__JOB_STATE_FAILED);
-				return;
-			}
-			add_candidate(s, candidates, &instances[k], queue,
-				      objective);
+	for (i = 0; i < job->spec->n_steps; i++) {
+		struct sch_step_instance *instance = &occurrence->instances[i];
+
+		if (!instance->ready_ms || !instance->n_idle)
+			continue;
+		if (is_exhausted(instance, queue)) {
+			sch_job_end(s, job, RP__JOB_STATE__JOB_STATE_FAILED);
+			return FALSE;
 		}
+		add_candidate(s, candidates, instance, queue, objective);
 	}
+	return TRUE;
+}
+
+static void add_job(struct sch *s, GArray *candidates, struct sch_job *job)
+{
+	const struct sch_queue *queue;
+	guint i = 0;
+
+	if (!job->open->len)
+		return;
+	queue = sch_queue_find(s, job->queue);
+	while (queue && i < job->open->len &&
+	       add_occurrence(s, candidates, queue, objective_ms(job, queue),
+			      job->open->pdata[i]))
+		i++;
 }
 
 static int compare(gconstpointer a, gconstpointer b)
--- a/sched/place.c
+++ b/sched/place.c
@@ -455,6 +455,8 @@
 	gpointer value;
 
 	g_array_set_size(s->placements, 0);
+	if (since >= s->last_vm_version)
+		return;
 	prepare_scores(s, instance);
 	g_hash_table_iter_init(&iter, s->vms);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
--- a/sched/record.c
+++ b/sched/record.c
@@ -30,7 +30,7 @@
 	guint i;
 
 	rp__task_progress__init(progress);
-	progress->occurrence = task->instance->occurrence;
+	progress->occurrence = task->instance->occurrence->number;
 	progress->step = task->instance->number;
 	progress->index = task->index;
 	progress->done = task->done;
@@ -63,6 +63,7 @@
 	progress.state = job->state;
 	progress.ended_unix_ms = job->ended_unix_ms;
 	progress.queue = job->queue;
+	sch_occurrence_save_schedule(job, &progress);
 	sch_job_foreach_task(job, add_task, tasks);
 	progress.n_tasks = tasks->len;
 	progress.tasks = (struct Rp__TaskProgress **)tasks->pdata;
@@ -71,6 +72,8 @@
 	rp__step_progress__pack(&progress, data);
 	for (i = 0; i < tasks->len; i++)
 		rp__task_progress__free_unpacked(tasks->pdata[i], NULL);
+	g_free(progress.open_occurrences);
+	g_free(progress.ended_ahead);
 	return g_bytes_new_take(data, len);
 }
 
@@ -125,15 +128,15 @@
 static int load_task(struct sch *s, struct sch_job *job,
 		     const struct Rp__TaskProgress *progress)
 {
-	g_autofree char *name =
-		g_strdup_printf("%s.%u.%u.%u", job->id, progress->occurrence,
-				progress->step, progress->index);
-	struct sch_job *found;
-	struct sch_task *task = sch_job_task(s, name, &found);
+	struct sch_occurrence *occurrence =
+		sch_occurrence_load(s, job, progress->occurrence);
+	struct sch_task *task;
 	size_t i;
 
-	if (!task)
+	if (!occurrence || progress->step >= job->spec->n_steps ||
+	    progress->index >= occurrence->instances[progress->step].n_tasks)
 		return -1;
+	task = &occurrence->instances[progress->step].tasks[progress->index];
 	task->attempts = progress->attempts;
 	task->failures = progress->failures;
 	task->instance->failures += progress->failures;
@@ -153,6 +156,26 @@
 	return 0;
 }
 
+/* Loads tasks in the order of their occurrences. */
+static int load_tasks(struct sch *s, struct sch_job *job,
+		      const struct Rp__StepProgress *progress)
+{
+	int result = 0;
+	size_t i;
+
+	sch_occurrence_load_schedule(s, job, progress);
+	for (i = 0; i < progress->n_tasks; i++) {
+		/* Records of earlier versions list occurrences that have
+		 * ended; not all of them may fit into memory at once. */
+		if (i && progress->tasks[i]->occurrence !=
+				 progress->tasks[i - 1]->occurrence)
+			sch_occurrence_close_ended(s, job);
+		if (load_task(s, job, progress->tasks[i]) < 0)
+			result = -1;
+	}
+	return result;
+}
+
 /* Adds an ended job of which only the state is stored, no specification. */
 static struct sch_job *ended_job_new(struct sch *s, const char *id,
 				     const char *queue)
@@ -177,16 +200,14 @@
 								      data);
 	struct sch_job *job = g_hash_table_lookup(s->jobs, id);
 	int result = 0;
-	size_t i;
 
 	s->unix_ms = unix_ms;
 	if (!progress)
 		return -1;
 	if (!job)
 		job = ended_job_new(s, id, progress->queue);
-	for (i = 0; job->spec && i < progress->n_tasks; i++)
-		if (load_task(s, job, progress->tasks[i]) < 0)
-			result = -1;
+	if (job->spec)
+		result = load_tasks(s, job, progress);
 	job->state = progress->state;
 	job->durable_state = progress->state;
 	job->ended_unix_ms = progress->ended_unix_ms;
--- a/sched/run.c
+++ b/sched/run.c
@@ -32,7 +32,7 @@
 
 	g_assert(task->n_runs < SCH_MAX_TASK_RUNS);
 	run->name = g_strdup_printf("%s.%u.%u.%u", task->job->id,
-				    task->instance->occurrence,
+				    task->instance->occurrence->number,
 				    task->instance->number, task->index);
 	run->task = task;
 	run->vm = vm;
@@ -44,6 +44,7 @@
 		task->instance->n_idle--;
 	task->runs[task->n_runs++] = run;
 	task->attempts = MAX(task->attempts, attempt);
+	task->instance->occurrence->n_runs++;
 	task->job->n_runs++;
 	task->job->has_progress = TRUE;
 	g_ptr_array_add(vm->runs, run);
@@ -73,12 +74,15 @@
 	task->runs[--task->n_runs] = NULL;
 	if (!task->n_runs && !task->done)
 		task->instance->n_idle++;
+	task->instance->occurrence->n_runs--;
 	job->n_runs--;
 	s->stats.runs--;
 	s->place_due = TRUE;
 	sch_run_free(run);
 	sch_job_mark_dirty(s, job);
-	if (!job->n_runs && sch_job_has_ended(job))
+	if ((!job->n_runs && sch_job_has_ended(job)) ||
+	    (!task->instance->occurrence->n_runs &&
+	     !task->instance->occurrence->instances_left))
 		g_ptr_array_add(s->closing, job);
 }
 
@@ -192,6 +196,7 @@
 		return;
 	task->done = TRUE;
 	task->instance->n_done++;
+	task->instance->occurrence->advance_due = TRUE;
 	if (!task->n_runs)
 		task->instance->n_idle--;
 	for (i = 0; i < task->n_runs; i++)
--- /dev/null
+++ b/sched/schedule_test.c
@@ -0,0 +1,421 @@
+#include <malloc.h>
+
+#include "leader_test.h"
+
+/* Tests of schedule.c: what schedules cost the leader in memory and time, also
+ * those that an earlier leader has accepted. */
+
+/** Memory of the smallest entry that may lead. */
+#define SMALLEST_ENTRY_BYTES (160 << 20)
+
+/** Time in which a leader has to be done with an event: three of its ticks,
+ * with the CPU share of a small entry, a quarter. */
+#define MAX_EVENT_MS 15
+
+/* Returns the bytes that are allocated on the heap; always 0 in sanitized
+ * builds, whose allocator does not count here. */
+static size_t heap_bytes(void)
+{
+	struct mallinfo2 info = mallinfo2();
+
+	return info.uordblks + info.hblkhd;
+}
+
+/** A job with a schedule and one step. */
+struct schedule {
+	guint occurrences;
+	gint64 first_unix_ms;
+	gint64 interval_ms;
+	guint replicas;
+	gint64 cpu_milli;
+};
+
+static void submit_schedule(struct leader *l, const char *path,
+			    const struct schedule *schedule)
+{
+	struct Rp__StepSpec step;
+	struct Rp__Resources need;
+	struct Rp__StepSpec *steps[] = { &step };
+	struct Rp__StepJob job;
+
+	init_step(&step, &need, schedule->replicas, schedule->cpu_milli);
+	rp__step_job__init(&job);
+	job.steps = steps;
+	job.n_steps = 1;
+	job.occurrences = schedule->occurrences;
+	job.first_unix_ms = schedule->first_unix_ms;
+	job.interval_ms = schedule->interval_ms;
+	call(l, RP__STEP_VERB__STEP_VERB_SUBMIT, path, &job);
+}
+
+/** Tasks that were started, and the number of end records of the worker. */
+struct worker {
+	/** Owned names, in the order of their starts. */
+	GPtrArray *started;
+	guint64 n_ends;
+};
+
+static void worker_init(struct worker *worker)
+{
+	worker->started = g_ptr_array_new_with_free_func(g_free);
+	worker->n_ends = 0;
+}
+
+static void worker_clear(struct worker *worker)
+{
+	g_ptr_array_unref(worker->started);
+}
+
+/* Ends each task that the orders since clear_effects() start as done. */
+static void end_started_tasks(struct leader *l, struct worker *worker)
+{
+	struct row rows[8] = { { 0 } };
+	size_t n = 0;
+	guint i;
+	size_t k;
+
+	for (i = 0; i < l->effects->len; i++) {
+		const struct sch_effect *e =
+			&g_array_index(l->effects, struct sch_effect, i);
+
+		if (e->kind != SCH_EFFECT_ORDERS)
+			continue;
+		for (k = 0; k < e->frame->vm_orders->n_starts; k++) {
+			const struct Rp__RunName *run =
+				e->frame->vm_orders->starts[k]->run;
+
+			ck_assert_uint_lt(n, G_N_ELEMENTS(rows));
+			g_ptr_array_add(worker->started, g_strdup(run->task));
+			rows[n].task = g_ptr_array_index(
+				worker->started, worker->started->len - 1);
+			rows[n].attempt = run->attempt;
+			rows[n].ended = RP__RUN_END_KIND__RUN_END_DONE;
+			rows[n++].number = ++worker->n_ends;
+		}
+	}
+	clear_effects(l);
+	report(l, "vm1", 50, rows, n);
+}
+
+/* Lets time pass in steps of 200 ms; tasks end as soon as they have started. */
+static void work(struct leader *l, struct worker *worker, gint64 ms)
+{
+	gint64 until_ms = l->now_ms + ms;
+
+	while (l->now_ms < until_ms) {
+		confirm_leadership(l);
+		commit(l);
+		end_started_tasks(l, worker);
+	}
+}
+
+static guint count_started(const struct worker *worker, const char *prefix)
+{
+	guint n = 0;
+	guint i;
+
+	for (i = 0; i < worker->started->len; i++)
+		if (g_str_has_prefix(worker->started->pdata[i], prefix))
+			n++;
+	return n;
+}
+
+static void assert_started_once(const struct worker *worker)
+{
+	g_autoptr(GHashTable) names = g_hash_table_new(g_str_hash, g_str_equal);
+	guint i;
+
+	for (i = 0; i < worker->started->len; i++)
+		ck_assert_msg(
+			g_hash_table_add(names, worker->started->pdata[i]),
+			"%s was started twice",
+			(const char *)worker->started->pdata[i]);
+}
+
+/* Sets up a leader that has loaded the job's records. */
+static void set_up_next_leader(struct leader *next, struct leader *l,
+			       const char *id)
+{
+	const struct sch_job *job = g_hash_table_lookup(l->s->jobs, id);
+	g_autoptr(GBytes) spec = sch_record_job(job);
+	g_autoptr(GBytes) progress = sch_record_progress(job);
+
+	setup(next);
+	ck_assert_int_eq(sch_load_job(next->s, id, g_bytes_get_data(spec, NULL),
+				      g_bytes_get_size(spec)),
+			 0);
+	ck_assert_int_eq(sch_load_progress(next->s, id,
+					   g_bytes_get_data(progress, NULL),
+					   g_bytes_get_size(progress),
+					   UNIX_MS + l->now_ms),
+			 0);
+	next->now_ms = l->now_ms;
+}
+
+/*
+ * Guards against a leader that outgrows its memory, or falls behind, because of
+ * accepted schedules that are not due: every 6 minutes for a year.
+ */
+START_TEST(test_schedules_of_a_year_fit)
+{
+	struct leader l;
+	struct schedule yearly = { .occurrences = 87600,
+				   .interval_ms = 360000,
+				   .replicas = 2,
+				   .cpu_milli = 500 };
+	size_t before;
+	gint64 from_us;
+	guint i;
+
+	setup(&l);
+	yearly.first_unix_ms = UNIX_MS + l.now_ms + 3600000;
+	add_vm(&l, "vm1");
+	before = heap_bytes();
+	for (i = 0; i < 130; i++) {
+		g_autofree char *path = g_strdup_printf("/q/nightly%u", i);
+
+		submit_schedule(&l, path, &yearly);
+		commit(&l);
+		confirm_leadership(&l);
+		ck_assert_uint_eq(l.status, 200);
+	}
+	clear_effects(&l);
+	ck_assert_uint_lt(heap_bytes(), before + SMALLEST_ENTRY_BYTES / 10);
+	from_us = g_get_monotonic_time();
+	for (i = 0; i < 50; i++)
+		tick(&l, 20);
+	ck_assert_int_lt(g_get_monotonic_time() - from_us,
+			 50 * 1000 * MAX_EVENT_MS);
+	teardown(&l);
+}
+END_TEST
+
+/* Guards against ended occurrences that a schedule keeps in the leader's memory
+ * and in its record for as long as it lasts. */
+START_TEST(test_ended_occurrences_cost_nothing)
+{
+	struct leader l;
+	struct worker worker;
+	struct schedule often = { .occurrences = 100000,
+				  .interval_ms = 200,
+				  .replicas = 2,
+				  .cpu_milli = 2500 };
+	const struct sch_job *job;
+	g_autoptr(GBytes) record = NULL;
+
+	setup(&l);
+	worker_init(&worker);
+	often.first_unix_ms = UNIX_MS + l.now_ms;
+	add_vm(&l, "vm1");
+	submit_schedule(&l, "/q/a", &often);
+	work(&l, &worker, 40000);
+	ck_assert_uint_gt(worker.started->len, 100);
+	assert_started_once(&worker);
+	job = g_hash_table_lookup(l.s->jobs, "a");
+	record = sch_record_progress(job);
+	ck_assert_uint_lt(g_bytes_get_size(record), 1000);
+	worker_clear(&worker);
+	teardown(&l);
+}
+END_TEST
+
+/* Guards against occurrences that start again at the next leader, and against
+ * later ones that it does not start. */
+START_TEST(test_ended_occurrences_stay_ended)
+{
+	struct leader l;
+	struct leader next;
+	struct worker worker;
+	struct schedule schedule = { .occurrences = 12,
+				     .interval_ms = 1000,
+				     .replicas = 2,
+				     .cpu_milli = 500 };
+
+	setup(&l);
+	worker_init(&worker);
+	schedule.first_unix_ms = UNIX_MS + l.now_ms;
+	add_vm(&l, "vm1");
+	submit_schedule(&l, "/q/a", &schedule);
+	work(&l, &worker, 5000);
+	ck_assert_uint_ge(worker.started->len, 8);
+	ck_assert_uint_le(worker.started->len, 12);
+	commit(&l);
+	set_up_next_leader(&next, &l, "a");
+	teardown(&l);
+	add_vm(&next, "vm1");
+	worker.n_ends = 0;
+	work(&next, &worker, 15000);
+	assert_started_once(&worker);
+	ck_assert_uint_eq(worker.started->len, 24);
+	confirm_leadership(&next);
+	call(&next, RP__STEP_VERB__STEP_VERB_STATE, "/q/a", NULL);
+	ck_assert_int_eq(next.state, RP__JOB_STATE__JOB_STATE_DONE);
+	worker_clear(&worker);
+	teardown(&next);
+}
+END_TEST
+
+/*
+ * Guards against a schedule whose occurrences are due at once and take the
+ * leader's memory and time, so that no other job goes on.
+ */
+START_TEST(test_short_interval_does_not_stop_others)
+{
+	struct leader l;
+	struct worker worker;
+	struct schedule seconds_as_ms = { .occurrences = 86400,
+					  .interval_ms = 1,
+					  .replicas = 6,
+					  .cpu_milli = 2400 };
+	size_t before;
+	gint64 from_us;
+	guint n;
+	guint i;
+
+	setup(&l);
+	worker_init(&worker);
+	seconds_as_ms.first_unix_ms = UNIX_MS + l.now_ms;
+	add_vm(&l, "vm1");
+	before = heap_bytes();
+	submit_schedule(&l, "/q/a", &seconds_as_ms);
+	commit(&l);
+	end_started_tasks(&l, &worker);
+	tick(&l, 100000);
+	from_us = g_get_monotonic_time();
+	for (i = 0; i < 50; i++)
+		tick(&l, 20);
+	ck_assert_int_lt(g_get_monotonic_time() - from_us,
+			 50 * 1000 * MAX_EVENT_MS);
+	ck_assert_uint_lt(heap_bytes(), before + SMALLEST_ENTRY_BYTES / 10);
+	clear_effects(&l);
+	work(&l, &worker, 1000);
+	confirm_leadership(&l);
+	submit_best_effort(&l, "/q/b");
+	commit(&l);
+	ck_assert_uint_eq(l.status, 200);
+	work(&l, &worker, 5000);
+	ck_assert_uint_eq(count_started(&worker, "b."), 1);
+	n = worker.started->len;
+	work(&l, &worker, 5000);
+	ck_assert_uint_gt(worker.started->len, n);
+	assert_started_once(&worker);
+	worker_clear(&worker);
+	teardown(&l);
+}
+END_TEST
+
+/* Guards against due times beyond the range of a time. */
+START_TEST(test_due_times_out_of_range)
+{
+	struct leader l;
+	struct worker worker;
+	struct schedule endless = { .occurrences = 100000,
+				    .interval_ms = G_MAXINT64 / 2,
+				    .replicas = 1,
+				    .cpu_milli = 2500 };
+
+	setup(&l);
+	worker_init(&worker);
+	endless.first_unix_ms = UNIX_MS + l.now_ms;
+	add_vm(&l, "vm1");
+	submit_schedule(&l, "/q/a", &endless);
+	work(&l, &worker, 5000);
+	ck_assert_uint_eq(worker.started->len, 1);
+	worker_clear(&worker);
+	teardown(&l);
+}
+END_TEST
+
+static void add_progress(GPtrArray *tasks, guint32 occurrence, guint32 index,
+			 gboolean done)
+{
+	struct Rp__TaskProgress *task = g_new(struct Rp__TaskProgress, 1);
+
+	rp__task_progress__init(task);
+	task->occurrence = occurrence;
+	task->index = index;
+	task->attempts = 1;
+	task->done = done;
+	g_ptr_array_add(tasks, task);
+}
+
+/*
+ * Guards against occurrences that start again when their progress was written
+ * by an earlier version, which lists the tasks of all occurrences, and against
+ * ones that it had left out and that are dropped. Here 0 and 2 have ended, 1
+ * had not started, and one task of 3 was stopped.
+ */
+START_TEST(test_progress_of_an_earlier_version)
+{
+	g_autoptr(GPtrArray) tasks = g_ptr_array_new_with_free_func(g_free);
+	struct Rp__StepProgress progress;
+	struct schedule schedule = { .occurrences = 5,
+				     .interval_ms = 1000,
+				     .replicas = 2,
+				     .cpu_milli = 500 };
+	struct leader l;
+	struct leader next;
+	struct worker worker;
+	g_autoptr(GBytes) spec = NULL;
+	g_autofree uint8_t *data = NULL;
+	size_t len;
+	guint i;
+
+	setup(&l);
+	schedule.first_unix_ms = UNIX_MS + l.now_ms;
+	submit_schedule(&l, "/q/a", &schedule);
+	commit(&l);
+	spec = sch_record_job(g_hash_table_lookup(l.s->jobs, "a"));
+	for (i = 0; i < 2; i++) {
+		add_progress(tasks, 0, i, TRUE);
+		add_progress(tasks, 2, i, TRUE);
+	}
+	add_progress(tasks, 3, 0, TRUE);
+	add_progress(tasks, 3, 1, FALSE);
+	rp__step_progress__init(&progress);
+	progress.state = RP__JOB_STATE__JOB_STATE_QUEUED;
+	progress.queue = (char *)"q";
+	progress.tasks = (struct Rp__TaskProgress **)tasks->pdata;
+	progress.n_tasks = tasks->len;
+	len = rp__step_progress__get_packed_size(&progress);
+	data = g_malloc(len);
+	rp__step_progress__pack(&progress, data);
+	setup(&next);
+	next.now_ms = l.now_ms + 60000;
+	teardown(&l);
+	ck_assert_int_eq(sch_load_job(next.s, "a", g_bytes_get_data(spec, NULL),
+				      g_bytes_get_size(spec)),
+			 0);
+	ck_assert_int_eq(sch_load_progress(next.s, "a", data, len,
+					   UNIX_MS + next.now_ms),
+			 0);
+	worker_init(&worker);
+	add_vm(&next, "vm1");
+	work(&next, &worker, 3000);
+	assert_started_once(&worker);
+	ck_assert_uint_eq(worker.started->len, 5);
+	ck_assert_uint_eq(count_started(&worker, "a.1.0."), 2);
+	ck_assert_uint_eq(count_started(&worker, "a.3.0.1"), 1);
+	ck_assert_uint_eq(count_started(&worker, "a.4.0."), 2);
+	confirm_leadership(&next);
+	call(&next, RP__STEP_VERB__STEP_VERB_STATE, "/q/a", NULL);
+	ck_assert_int_eq(next.state, RP__JOB_STATE__JOB_STATE_DONE);
+	worker_clear(&worker);
+	teardown(&next);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("sched/schedule");
+	TCase *tcase = tcase_create("schedule");
+
+	tcase_add_test(tcase, test_schedules_of_a_year_fit);
+	tcase_add_test(tcase, test_ended_occurrences_cost_nothing);
+	tcase_add_test(tcase, test_ended_occurrences_stay_ended);
+	tcase_add_test(tcase, test_short_interval_does_not_stop_others);
+	tcase_add_test(tcase, test_due_times_out_of_range);
+	tcase_add_test(tcase, test_progress_of_an_earlier_version);
+	suite_add_tcase(suite, tcase);
+	return fixture_run(suite);
+}
--- a/wire/rp.pb-c.c
+++ b/wire/rp.pb-c.c
@@ -7452,7 +7452,7 @@
   (ProtobufCMessageInit) rp__task_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp__step_progress__field_descriptors[4] =
+static const ProtobufCFieldDescriptor rp__step_progress__field_descriptors[7] =
 {
   {
     "state",
@@ -7502,9 +7502,48 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "next_occurrence",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Rp__StepProgress, next_occurrence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "open_occurrences",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Rp__StepProgress, n_open_occurrences),
+    offsetof(Rp__StepProgress, open_occurrences),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended_ahead",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Rp__StepProgress, n_ended_ahead),
+    offsetof(Rp__StepProgress, ended_ahead),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rp__step_progress__field_indices_by_name[] = {
+  6,   /* field[6] = ended_ahead */
   1,   /* field[1] = ended_unix_ms */
+  4,   /* field[4] = next_occurrence */
+  5,   /* field[5] = open_occurrences */
   3,   /* field[3] = queue */
   0,   /* field[0] = state */
   2,   /* field[2] = tasks */
@@ -7512,7 +7551,7 @@
 static const ProtobufCIntRange rp__step_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor rp__step_progress__descriptor =
 {
@@ -7522,7 +7561,7 @@
   "Rp__StepProgress",
   "rp",
   sizeof(Rp__StepProgress),
-  4,
+  7,
   rp__step_progress__field_descriptors,
   rp__step_progress__field_indices_by_name,
   1,  rp__step_progress__number_ranges,
--- a/wire/rp.pb-c.h
+++ b/wire/rp.pb-c.h
@@ -1586,10 +1586,24 @@
   size_t n_tasks;
   Rp__TaskProgress **tasks;
   char *queue;
+  /*
+   * Of a job with a schedule: occurrences with lower numbers were opened, and
+   *have ended unless open_occurrences has them. The tasks of those that have
+   *ended are not listed. 0 in records of earlier versions, which list the
+   *tasks of all occurrences. 
+   */
+  uint32_t next_occurrence;
+  size_t n_open_occurrences;
+  uint32_t *open_occurrences;
+  /*
+   * Occurrences from next_occurrence on that have ended. 
+   */
+  size_t n_ended_ahead;
+  uint32_t *ended_ahead;
 };
 #define RP__STEP_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rp__step_progress__descriptor) \
-    , RP__JOB_STATE__JOB_STATE_NONE, 0, 0,NULL, (char *)protobuf_c_empty_string }
+    , RP__JOB_STATE__JOB_STATE_NONE, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL }
 
 
 /*
