sched: count what accepted jobs cost, and hold the bound on it always

A leader can be killed for its memory by jobs that it has accepted.

Cause: the bound on bytes held only while some accepted job waited. A step counted with its packed size and its tasks, so many small steps or long lists of preceding steps cost several times what they counted as. Ended jobs, kept for 180 s, did not count and were deleted one in a tick. Image names are kept by leaders and agents, up to 4,096 of any length.

Change: a job counts with its structures, one occurrence and its runs; the bound on bytes holds whether jobs wait or not; repeated entries of a list of preceding steps are removed; ended jobs count, and eight are deleted in a tick; names of more than 256 bytes are known by a digest.

Evidence: three tests of sched/schedule_test.c fail before (40 of 40 jobs accepted beside a bound of 10 MB; 28 MB of heap counted as 9; 1,000 ended jobs kept, bound 400) and pass now, colo_test has one for the names. test_runs_cost_what_is_counted passed before, too.

--- a/colo/colo.c
+++ b/colo/colo.c
@@ -49,6 +49,9 @@
 #define MAX_IMAGES 4096
 #define IMAGE_BITS 16
 
+/** A longer image name is replaced by a digest, since names are kept. */
+#define MAX_NAME_BYTES 256
+
 struct colo_table {
 	/** Image name to id; the keys belong to names. */
 	GHashTable *ids;
@@ -78,9 +81,15 @@
 
 guint colo_image_id(struct colo_table *table, const char *name)
 {
+	g_autofree char *digest = NULL;
 	gpointer id;
 	char *copy;
 
+	if (strlen(name) > MAX_NAME_BYTES) {
+		digest = g_compute_checksum_for_string(G_CHECKSUM_SHA256, name,
+						       -1);
+		name = digest;
+	}
 	if (g_hash_table_lookup_extended(table->ids, name, NULL, &id))
 		return GPOINTER_TO_UINT(id);
 	if (table->names->len == MAX_IMAGES)
--- a/colo/colo.h
+++ b/colo/colo.h
@@ -31,7 +31,8 @@
  * Returns the id of the image in this table, adding the image if needed. The
  * other functions take ids since placement looks up pairs for each candidate
  * worker of each task. Images beyond the table's maximum get the id of the last
- * one, and so its coefficients and name.
+ * one, and so its coefficients and name. A name of more than 256 bytes is known
+ * by its SHA-256 digest.
  */
 guint colo_image_id(struct colo_table *table, const char *name);
 /** Name of an id that colo_image_id() returned; belongs to the table. */
--- a/colo/colo_test.c
+++ b/colo/colo_test.c
@@ -193,6 +193,23 @@
 }
 END_TEST
 
+/* Guards against long names that take the memory of a leader or agent. */
+START_TEST(test_long_names_are_bounded)
+{
+	struct colo_table *table = colo_table_new();
+	g_autofree char *name = g_strnfill(200000, 'x');
+	g_autofree char *other = g_strdup_printf("%sy", name);
+	guint id = colo_image_id(table, name);
+
+	ck_assert_uint_le(strlen(colo_image_name(table, id)), 256);
+	ck_assert_uint_eq(colo_image_id(table, name), id);
+	ck_assert_uint_ne(colo_image_id(table, other), id);
+	/* As a record or another process names it. */
+	ck_assert_uint_eq(colo_image_id(table, colo_image_name(table, id)), id);
+	colo_table_free(table);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("colo");
@@ -204,6 +221,7 @@
 	tcase_add_test(tcase, test_headroom);
 	tcase_add_test(tcase, test_coefficients_are_bounded);
 	tcase_add_test(tcase, test_images_are_bounded);
+	tcase_add_test(tcase, test_long_names_are_bounded);
 	suite_add_tcase(suite, tcase);
 	return fixture_run(suite);
 }
--- a/sched/admission.c
+++ b/sched/admission.c
@@ -8,10 +8,15 @@
  * leader's memory lasts: without a bound the leader's process ends, and then no
  * caller is served.
  *
- * A job is refused only if a bound is reached and accepted jobs wait for
- * capacity. Nothing is refused for its size or for what it needs: a VM that can
- * run it may still be added, and declared durations are estimates, so that it
- * is never certain that a job cannot end while it has a value.
+ * A job is refused if the memory of accepted jobs reaches its bound, or if
+ * their number does and some of them wait for capacity. Nothing is refused for
+ * its size or for what it needs: a VM that can run it may still be added, and
+ * declared durations are estimates, so that it is never certain that a job
+ * cannot end while it has a value.
+ *
+ * A job counts with what it costs at most: its specification, and the tasks of
+ * one occurrence with their runs. Those of further open occurrences have bounds
+ * of their own in schedule.c.
  */
 
 /** Time over which ends of jobs are averaged. */
@@ -25,8 +30,12 @@
 #define RETRY_MIN_S 1
 #define RETRY_MAX_S 30
 
-/** Memory of a task, its run and their records, for the bound on bytes. */
+/** Memory for the bound on bytes: of a task and its run, of a step and of a job
+ * besides what their structures have, of an ended job whose state is kept. */
 #define TASK_BYTES 400
+#define STEP_BYTES 160
+#define JOB_BYTES 400
+#define ENDED_JOB_BYTES 400
 
 void sch_drain_add(struct sch_drain *drain, gint64 now_ms)
 {
@@ -53,11 +62,19 @@
 
 static guint64 job_bytes(const struct Rp__StepJob *spec)
 {
-	guint64 bytes = rp__step_job__get_packed_size(spec);
+	guint64 bytes = JOB_BYTES + sizeof(struct sch_job) +
+			sizeof(struct sch_occurrence) +
+			rp__step_job__get_packed_size(spec);
 	size_t i;
 
-	for (i = 0; i < spec->n_steps; i++)
-		bytes += (guint64)spec->steps[i]->replicas * TASK_BYTES;
+	for (i = 0; i < spec->n_steps; i++) {
+		const struct Rp__StepSpec *step = spec->steps[i];
+
+		bytes += STEP_BYTES + sizeof(*step) + sizeof(*step->need) +
+			 sizeof(struct sch_step_instance) +
+			 step->n_after * sizeof(*step->after) +
+			 (guint64)step->replicas * TASK_BYTES;
+	}
 	return bytes;
 }
 
@@ -89,33 +106,35 @@
 	const struct sch_options *options = &s->options;
 	gboolean too_many = options->max_jobs &&
 			    s->active->len >= options->max_jobs;
+	guint64 bytes = s->admitted_bytes + job_bytes(spec) +
+			(guint64)s->ended.length * ENDED_JOB_BYTES;
 	gboolean too_large = options->max_job_bytes &&
-			     s->admitted_bytes + job_bytes(spec) >
-				     options->max_job_bytes;
+			     bytes > options->max_job_bytes;
 	double per_s;
 	guint retry_after_s;
 
-	if ((!too_many && !too_large) || !some_job_waits(s))
+	if (!too_large && (!too_many || !some_job_waits(s)))
 		return 0;
 	per_s = sch_drain_per_s(&s->drain, s->now_ms);
 	/* As to bytes, jobs are taken as equally large. */
-	if (too_many)
+	if (!too_large)
 		retry_after_s = sch_admission_retry_after_s(
 			s->active->len, options->max_jobs, per_s,
 			g_str_hash(id));
 	else
 		retry_after_s = sch_admission_retry_after_s(
 			s->active->len, s->active->len, per_s, g_str_hash(id));
-	if (too_many)
+	if (!too_large)
 		s->stats.refused_jobs++;
 	else
 		s->stats.refused_bytes++;
-	g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "JOB_ID", id,
-			 "MESSAGE",
-			 "job refused for %u s: %u jobs and %" G_GUINT64_FORMAT
-			 " bytes are accepted, bounds %u and %" G_GUINT64_FORMAT
-			 "; %.2f jobs end in a second",
-			 retry_after_s, s->active->len, s->admitted_bytes,
-			 options->max_jobs, options->max_job_bytes, per_s);
+	g_log_structured(
+		G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "JOB_ID", id, "MESSAGE",
+		"job refused for %u s: %u jobs are accepted, with this "
+		"one %" G_GUINT64_FORMAT
+		" bytes, bounds %u and %" G_GUINT64_FORMAT
+		"; %.2f jobs end in a second",
+		retry_after_s, s->active->len, bytes, options->max_jobs,
+		options->max_job_bytes, per_s);
 	return retry_after_s;
 }
--- a/sched/call.c
+++ b/sched/call.c
@@ -137,6 +137,7 @@
 		return;
 	}
 	spec = wire_message_dup(&call->job->base);
+	sch_job_normalise(spec);
 	wire_set_string(&spec->job_id, id);
 	wire_set_string(&spec->queue, queue->name);
 	spec->submitted_unix_ms = s->unix_ms;
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -523,6 +523,8 @@
 /** Returns NULL if the specification is valid, else a text that says why it is
  * not. */
 const char *sch_job_check(const struct Rp__StepJob *spec);
+/** Removes repeated entries from the lists of preceding steps. */
+void sch_job_normalise(struct Rp__StepJob *spec);
 gboolean sch_job_has_ended(const struct sch_job *job);
 /** Returns NULL if there is no such task in an open occurrence; *job is set to
  * the job, or to NULL if it does not exist. */
--- a/sched/job.c
+++ b/sched/job.c
@@ -46,6 +46,26 @@
 	return tasks > SCH_MAX_TASKS ? "too many tasks" : NULL;
 }
 
+void sch_job_normalise(struct Rp__StepJob *spec)
+{
+	size_t i;
+	size_t k;
+
+	for (i = 0; i < spec->n_steps; i++) {
+		struct Rp__StepSpec *step = spec->steps[i];
+		gboolean seen[SCH_MAX_STEPS] = { FALSE };
+		size_t n = 0;
+
+		for (k = 0; k < step->n_after; k++) {
+			if (!seen[step->after[k]])
+				step->after[n++] = step->after[k];
+			seen[step->after[k]] = TRUE;
+		}
+		step->n_after = n;
+		step->after = g_realloc_n(step->after, n, sizeof(*step->after));
+	}
+}
+
 struct sch_job *sch_job_new(struct sch *s, const char *id,
 			    struct Rp__StepJob *spec)
 {
--- a/sched/record.c
+++ b/sched/record.c
@@ -88,6 +88,7 @@
 		rp__step_job__free_unpacked(spec, NULL);
 		return -1;
 	}
+	sch_job_normalise(spec);
 	job = sch_job_new(s, id, spec);
 	job->accepted_ms = s->now_ms -
 			   MAX(s->unix_ms - spec->submitted_unix_ms, 0);
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -2,6 +2,9 @@
 
 /* The reducer: events in, effects out. */
 
+/** Ended jobs that are deleted in a tick at most. */
+#define MAX_EXPIRED 8
+
 const gint64 sch_bucket_bounds_ms[SCH_BUCKETS - 1] = { 100,   300,   1000,
 						       3000,  10000, 30000,
 						       100000 };
@@ -131,17 +134,29 @@
 	s->place_due = TRUE;
 }
 
-/* Deletes the oldest ended job if its retention is over. */
-static void expire_job(struct sch *s)
+/* Deletes the oldest ended job if its retention is over; returns FALSE if it is
+ * not. */
+static gboolean expire_job(struct sch *s)
 {
 	struct sch_job *job = g_queue_peek_head(&s->ended);
 
 	if (!job || job->pending_change || job->committing || job->spec ||
 	    s->unix_ms < job->ended_unix_ms + s->options.retention_ms)
-		return;
+		return FALSE;
 	g_queue_pop_head(&s->ended);
 	job->retention_over = TRUE;
 	sch_job_mark_dirty(s, job);
+	return TRUE;
+}
+
+/* As many as transactions write in a few ticks, so that jobs can end faster
+ * than one in each tick. */
+static void expire_jobs(struct sch *s)
+{
+	guint i;
+
+	for (i = 0; i < MAX_EXPIRED && expire_job(s); i++)
+		;
 }
 
 static void tick(struct sch *s)
@@ -156,7 +171,7 @@
 	sch_call_check_outage(s);
 	sch_commit_check_timeout(s);
 	sch_reschedule(s);
-	expire_job(s);
+	expire_jobs(s);
 }
 
 static void dispatch(struct sch *s, const struct sch_event *ev)
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -85,9 +85,10 @@
 	/** Of the random part of Retry-After. */
 	guint32 seed;
 	/** While accepted jobs wait, no job is accepted beyond this number of
-	 * jobs that have not ended, and this memory of theirs; 0 for no bound.
-	 */
+	 * jobs that have not ended; 0 for no bound. */
 	guint max_jobs;
+	/** No job is accepted beyond this memory of accepted ones; 0 for no
+	 * bound. */
 	guint64 max_job_bytes;
 };
 
--- a/sched/schedule_test.c
+++ b/sched/schedule_test.c
@@ -2,8 +2,8 @@
 
 #include "leader_test.h"
 
-/* Tests of schedule.c: what schedules cost the leader in memory and time, also
- * those that an earlier leader has accepted. */
+/* Tests of schedule.c and admission.c: what accepted jobs cost the leader in
+ * memory and time, also those that an earlier leader has accepted. */
 
 /** Memory of the smallest entry that may lead. */
 #define SMALLEST_ENTRY_BYTES (160 << 20)
@@ -405,6 +405,138 @@
 }
 END_TEST
 
+/* Submits a job of n tasks that need nothing, so that all can start at once. */
+static void submit_wide(struct leader *l, const char *path, guint n)
+{
+	struct Rp__StepSpec step;
+	struct Rp__Resources need;
+	struct Rp__StepSpec *steps[] = { &step };
+
+	init_step(&step, &need, n, 0);
+	submit(l, path, steps, 1);
+}
+
+/* Guards against a leader whose memory has no bound while each accepted job has
+ * started, as none waits for capacity. */
+START_TEST(test_bound_on_bytes_without_waiting_jobs)
+{
+	struct leader l;
+	guint refused = 0;
+	guint i;
+
+	setup(&l);
+	l.s->options.max_job_bytes = 10 << 20;
+	for (i = 0; i < 40; i++) {
+		g_autofree char *path = g_strdup_printf("/q/job%u", i);
+		guint k;
+
+		confirm_leadership(&l);
+		submit_wide(&l, path, 4096);
+		refused += l.status == 429;
+		commit(&l);
+		for (k = 0; k < l.s->active->len; k++)
+			((struct sch_job *)l.s->active->pdata[k])->started =
+				TRUE;
+	}
+	ck_assert_uint_gt(refused, 0);
+	ck_assert_uint_eq(l.s->stats.refused_bytes, refused);
+	ck_assert_uint_gt(l.s->active->len, 1);
+	ck_assert_uint_le(l.s->admitted_bytes, 10 << 20);
+	teardown(&l);
+}
+END_TEST
+
+/* Guards against jobs that cost more than what they are counted as: many small
+ * steps, each with a long list of the steps before it. */
+START_TEST(test_jobs_cost_what_is_counted)
+{
+	struct leader l;
+	struct Rp__StepSpec steps[SCH_MAX_STEPS];
+	struct Rp__Resources needs[SCH_MAX_STEPS];
+	struct Rp__StepSpec *list[SCH_MAX_STEPS];
+	g_autofree guint32 *after = g_new0(guint32, 1000);
+	size_t before;
+	guint i;
+
+	setup(&l);
+	for (i = 0; i < SCH_MAX_STEPS; i++) {
+		init_step(&steps[i], &needs[i], 1, 1000);
+		list[i] = &steps[i];
+		steps[i].after = after;
+		steps[i].n_after = i ? 1000 : 0;
+	}
+	before = heap_bytes();
+	for (i = 0; i < 100; i++) {
+		g_autofree char *path = g_strdup_printf("/q/job%u", i);
+
+		confirm_leadership(&l);
+		submit(&l, path, list, SCH_MAX_STEPS);
+		commit(&l);
+		ck_assert_uint_eq(l.status, 200);
+		clear_effects(&l);
+	}
+	ck_assert_uint_le(heap_bytes(), before + l.s->admitted_bytes);
+	ck_assert_uint_lt(l.s->admitted_bytes, 100 * 64 * 1024);
+	teardown(&l);
+}
+END_TEST
+
+/* Guards against tasks whose runs cost more than what they are counted as. */
+START_TEST(test_runs_cost_what_is_counted)
+{
+	struct leader l;
+	size_t before;
+
+	setup(&l);
+	add_vm(&l, "vm1");
+	commit(&l);
+	confirm_leadership(&l);
+	clear_effects(&l);
+	before = heap_bytes();
+	submit_wide(&l, "/q/job", 4096);
+	commit(&l);
+	clear_effects(&l);
+	ck_assert_uint_eq(l.s->stats.runs, 4096);
+	ck_assert_uint_le(heap_bytes(), before + l.s->admitted_bytes);
+	teardown(&l);
+}
+END_TEST
+
+/* Guards against states of ended jobs that come in faster than they are
+ * deleted, which would take the leader's memory. */
+START_TEST(test_ended_jobs_are_counted_and_deleted)
+{
+	struct leader l;
+	guint i;
+
+	setup(&l);
+	l.s->options.max_job_bytes = 100000;
+	for (i = 0; i < 1000; i++) {
+		g_autofree char *path = g_strdup_printf("/q/job%u", i);
+
+		confirm_leadership(&l);
+		submit_wide(&l, path, 1);
+		call(&l, RP__STEP_VERB__STEP_VERB_CANCEL, path, NULL);
+		if (i % 20 == 19)
+			commit(&l);
+		clear_effects(&l);
+	}
+	ck_assert_uint_gt(l.s->ended.length, 100);
+	ck_assert_uint_lt(l.s->ended.length, 400);
+	tick(&l, l.s->options.retention_ms);
+	for (i = 0; i < 20; i++) {
+		commit(&l);
+		clear_effects(&l);
+	}
+	ck_assert_uint_eq(g_hash_table_size(l.s->jobs), 0);
+	confirm_leadership(&l);
+	submit_wide(&l, "/q/new", 1);
+	commit(&l);
+	ck_assert_uint_eq(l.status, 200);
+	teardown(&l);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("sched/schedule");
@@ -416,6 +548,10 @@
 	tcase_add_test(tcase, test_short_interval_does_not_stop_others);
 	tcase_add_test(tcase, test_due_times_out_of_range);
 	tcase_add_test(tcase, test_progress_of_an_earlier_version);
+	tcase_add_test(tcase, test_bound_on_bytes_without_waiting_jobs);
+	tcase_add_test(tcase, test_jobs_cost_what_is_counted);
+	tcase_add_test(tcase, test_runs_cost_what_is_counted);
+	tcase_add_test(tcase, test_ended_jobs_are_counted_and_deleted);
 	suite_add_tcase(suite, tcase);
 	return fixture_run(suite);
 }
