sched: end the avoidance of a worker with a fault

What callers saw: a task failed once on a worker that was faulty for 6.5 s and the only one that it may go to.

Cause: a retry never went to a worker with a fault, and only a task that is done there ended the fault, which no work then came for.

Ruled out: capacity, the label, the lease, and the quarantine (a single fault leads to none); the record of the case has heartbeats and run lists of the worker all the time.

Change: a task that failed avoids the worker for 2.5 s after its last fault, doubled with each failure, and for at most twice that after its own. Work that could run on no other worker may start in a quarantine 2.5 s after the last fault.

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -174,9 +174,11 @@
 	gboolean zone_due;
 	/** It is in vms_with_orders. */
 	gboolean orders_noted;
-	/** Worker faults in a row, and the job that had the last one. */
+	/** Worker faults in a row, the job that had the last one that counted,
+	 * and when the last one was. */
 	guint worker_faults;
 	struct sch_job *last_fault_job;
+	gint64 last_fault_ms;
 	gint64 quarantine_until_ms;
 	/** Start of the last quarantine; 0 for none. */
 	gint64 quarantine_from_ms;
@@ -260,8 +262,10 @@
 	char *checkpoint;
 	struct sch_run *runs[SCH_MAX_TASK_RUNS];
 	guint n_runs;
-	/** VM of the last failed run; NULL for none. */
+	/** VM of the last failed run, NULL for none, and when this leader
+	 * learned of the failure. */
 	char *last_failed_vm;
+	gint64 last_failure_ms;
 	/** VM from which the task was last moved; NULL for none. */
 	char *moved_from;
 };
@@ -473,6 +477,11 @@
 	gint64 last_place_ms;
 	/** Highest version of any VM. */
 	guint64 last_vm_version;
+	/** No quarantine ends later. */
+	gint64 quarantine_until_ms;
+	/** The step being placed could run only on quarantined workers, even if
+	 * all were idle. */
+	gboolean only_quarantined;
 	/** Possible placements of the step being placed: struct sch_placement.
 	 */
 	GArray *placements;
@@ -615,6 +624,8 @@
 void sch_vm_note_orders(struct sch *s, struct sch_vm *vm);
 /** TRUE if new tasks may start on the VM. */
 gboolean sch_vm_is_usable(const struct sch *s, const struct sch_vm *vm);
+/** As sch_vm_is_usable(), without regard to a quarantine. */
+gboolean sch_vm_is_reachable(const struct sch *s, const struct sch_vm *vm);
 /** Orders the worker to start a run. */
 void sch_vm_order_start(struct sch *s, struct sch_run *run);
 /** Orders the worker to stop a run, which may be unknown here. */
@@ -670,6 +681,15 @@
 void sch_vm_fault(struct sch *s, struct sch_vm *vm, struct sch_job *job,
 		  gint64 started_ms);
 void sch_vm_clear_faults(struct sch_vm *vm);
+/** Number of the worker's faults that still count. */
+guint sch_vm_faults(const struct sch *s, const struct sch_vm *vm);
+gboolean sch_vm_is_quarantined(const struct sch *s, const struct sch_vm *vm);
+/** TRUE if work that could run nowhere else may start in the quarantine. */
+gboolean sch_vm_may_be_tried(const struct sch *s, const struct sch_vm *vm);
+/** TRUE if the task must not start on the VM now, because of its failures and
+ * the faults of the VM's worker. */
+gboolean sch_task_avoids(const struct sch *s, const struct sch_task *task,
+			 const struct sch_vm *vm);
 
 /* order.c */
 /** Urgency of a step within its queue's priority, most urgent first. */
--- a/sched/place.c
+++ b/sched/place.c
@@ -97,18 +97,26 @@
  */
 #define MAX_INTERFERENCE_WAIT_MS 1500
 
-static gboolean has_capacity(const struct sch_vm *vm,
-			     const struct Rp__StepSpec *step)
+/* TRUE if a task of the step fits beside what is reserved. */
+static gboolean fits_beside(const struct sch_amount *reserved,
+			    const struct sch_vm *vm,
+			    const struct Rp__StepSpec *step)
 {
 	gint64 cpu = step->fills ? 0 : step->need->cpu_milli;
 
-	return vm->reserved.cpu_milli + cpu <= vm->capacity.cpu_milli &&
-	       vm->reserved.memory_bytes + step->need->memory_bytes <=
+	return reserved->cpu_milli + cpu <= vm->capacity.cpu_milli &&
+	       reserved->memory_bytes + step->need->memory_bytes <=
 		       vm->capacity.memory_bytes &&
-	       vm->reserved.accelerators + step->need->accelerators <=
+	       reserved->accelerators + step->need->accelerators <=
 		       vm->capacity.accelerators;
 }
 
+static gboolean has_capacity(const struct sch_vm *vm,
+			     const struct Rp__StepSpec *step)
+{
+	return fits_beside(&vm->reserved, vm, step);
+}
+
 static guint count_on(const struct sch_vm *vm,
 		      const struct sch_step_instance *instance)
 {
@@ -192,17 +200,50 @@
 	 * urgent. */
 	if (!step->target_ms && !step->lasts && !step->fills)
 		score += COLD_PENALTY * sch_zone_cold_s(s, vm);
-	return score + FAULT_PENALTY * vm->worker_faults;
+	return score + FAULT_PENALTY * sch_vm_faults(s, vm);
 }
 
-/* Counts what base_score() and spreading need for a step; to be called before
- * them. */
+/* TRUE if a task of the step could start on a VM that is not quarantined once
+ * enough of what runs there has ended. */
+static gboolean has_sound_vm(const struct sch *s,
+			     const struct sch_step_instance *instance,
+			     const char *pool)
+{
+	static const struct sch_amount nothing = { 0 };
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, s->vms);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct sch_vm *vm = value;
+
+		if (sch_vm_is_usable(s, vm) &&
+		    fits_beside(&nothing, vm, instance->step) &&
+		    is_suitable(vm, instance, pool, NULL))
+			return TRUE;
+	}
+	return FALSE;
+}
+
+/* TRUE if tasks of the step to be placed may start on the VM. */
+static gboolean may_use(const struct sch *s, const struct sch_vm *vm)
+{
+	return s->only_quarantined ? sch_vm_is_reachable(s, vm) &&
+					     sch_vm_may_be_tried(s, vm)
+				   : sch_vm_is_usable(s, vm);
+}
+
+/* Sets what can_place(), base_score() and spreading need for a step; to be
+ * called before them. */
 static void prepare_scores(struct sch *s,
-			   const struct sch_step_instance *instance)
+			   const struct sch_step_instance *instance,
+			   const struct sch_queue *queue)
 {
 	GHashTableIter iter;
 	gpointer value;
 
+	s->only_quarantined = queue && s->now_ms < s->quarantine_until_ms &&
+			      !has_sound_vm(s, instance, queue->pool);
 	sch_spread_prepare(s, instance);
 	s->n_vms_without_sensitive = 0;
 	if (!instance->step->target_ms)
@@ -233,7 +274,7 @@
 {
 	struct sch_best_effort_demand demand;
 
-	if (!has_capacity(vm, instance->step) || !sch_vm_is_usable(s, vm) ||
+	if (!has_capacity(vm, instance->step) || !may_use(s, vm) ||
 	    !is_suitable(vm, instance, queue->pool, rack))
 		return FALSE;
 	*score = base_score(s, vm, instance);
@@ -303,23 +344,19 @@
 			     const char *rack)
 {
 	const struct sch_queue *queue = sch_queue_find(s, task->job->queue);
-	const struct Rp__StepSpec *step = task->instance->step;
 	double min_share = may_interfere(s, task) ? 0 : MIN_BEST_EFFORT_SHARE;
 	GHashTableIter iter;
 	gpointer value;
 
-	prepare_scores(s, task->instance);
+	prepare_scores(s, task->instance, queue);
 	g_array_set_size(s->placements, 0);
 	g_hash_table_iter_init(&iter, s->vms);
 	while (queue && g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct sch_placement placement = { .vm = value };
 		struct sch_vm *vm = placement.vm;
 
-		/* Retries avoid workers with faults, since a job fails after
-		 * max_attempts failures of a task. Failures of long-running
-		 * tasks have no limit, so these may start there. */
 		if ((task->n_runs && task->runs[0]->vm == vm) ||
-		    (vm->worker_faults && task->failures && !step->lasts) ||
+		    sch_task_avoids(s, task, vm) ||
 		    !can_place(s, task->instance, queue, rack, min_share, vm,
 			       &placement.score))
 			continue;
@@ -335,9 +372,27 @@
 		.vm;
 }
 
+static void log_try_after_faults(const struct sch *s,
+				 const struct sch_task *task,
+				 const struct sch_vm *vm)
+{
+	g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "JOB_ID",
+			 task->job->id, "VM", vm->name, "MESSAGE",
+			 "task %u of step %u, which failed %u times, goes to a "
+			 "worker with %u faults%s, the last %" G_GINT64_FORMAT
+			 " ms ago",
+			 task->index, task->instance->number, task->failures,
+			 sch_vm_faults(s, vm),
+			 sch_vm_is_quarantined(s, vm) ? " in quarantine" : "",
+			 s->now_ms - vm->last_fault_ms);
+}
+
 static void plan(struct sch *s, struct sch_task *task, struct sch_vm *vm,
 		 guint32 attempt)
 {
+	if (sch_vm_faults(s, vm) &&
+	    (task->failures || sch_vm_is_quarantined(s, vm)))
+		log_try_after_faults(s, task, vm);
 	sch_run_new(s, task, vm, attempt);
 	sch_spread_add_run(s, task, vm);
 	sch_job_mark_awaited(s, task->job);
@@ -457,7 +512,7 @@
 	g_array_set_size(s->placements, 0);
 	if (since >= s->last_vm_version)
 		return;
-	prepare_scores(s, instance);
+	prepare_scores(s, instance, queue);
 	g_hash_table_iter_init(&iter, s->vms);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct sch_placement placement = { .vm = value };
@@ -575,6 +630,7 @@
 	gpointer value;
 	double score;
 
+	s->only_quarantined = FALSE;
 	g_hash_table_iter_init(&iter, s->vms);
 	while (queue && g_hash_table_iter_next(&iter, NULL, &value))
 		if (value != run->vm && can_place(s, task->instance, queue,
--- a/sched/run.c
+++ b/sched/run.c
@@ -226,6 +226,7 @@
 	task->instance->failures++;
 	g_free(task->last_failed_vm);
 	task->last_failed_vm = g_strdup(vm->name);
+	task->last_failure_ms = s->now_ms;
 	sch_vm_fault(s, vm, job, started_ms);
 	sch_job_mark_dirty(s, job);
 	if (task->instance->step->lasts || !queue ||
--- a/sched/vm.c
+++ b/sched/vm.c
@@ -303,22 +303,32 @@
 	return clock_now_ms(s, vm) > vm->lease_until_ms + LEASE_SLACK_MS;
 }
 
-gboolean sch_vm_is_usable(const struct sch *s, const struct sch_vm *vm)
-{
-	return sch_zone_allows_starts(s, vm) && sch_vm_is_usable_in_zone(s, vm);
-}
-
-gboolean sch_vm_is_usable_in_zone(const struct sch *s, const struct sch_vm *vm)
+static gboolean is_reachable_in_zone(const struct sch *s,
+				     const struct sch_vm *vm)
 {
 	return vm->connected && vm->info_received && vm->synced &&
 	       !vm->draining &&
 	       s->now_ms - vm->last_report_ms < SCH_REPORT_MAX_AGE_MS &&
 	       vm->unresponsive_ms < UNRESPONSIVE_MS &&
-	       s->now_ms >= vm->quarantine_until_ms &&
 	       !lease_has_expired(s, vm) &&
 	       !g_hash_table_size(vm->unknown_runs);
 }
 
+gboolean sch_vm_is_usable(const struct sch *s, const struct sch_vm *vm)
+{
+	return sch_zone_allows_starts(s, vm) && sch_vm_is_usable_in_zone(s, vm);
+}
+
+gboolean sch_vm_is_usable_in_zone(const struct sch *s, const struct sch_vm *vm)
+{
+	return is_reachable_in_zone(s, vm) && !sch_vm_is_quarantined(s, vm);
+}
+
+gboolean sch_vm_is_reachable(const struct sch *s, const struct sch_vm *vm)
+{
+	return sch_zone_allows_starts(s, vm) && is_reachable_in_zone(s, vm);
+}
+
 static void apply_info(struct sch *s, struct sch_vm *vm,
 		       const struct Rp__WorkerInfo *info)
 {
