sched, cell: load what is stored within a bound on memory

A leader that reads more accepted jobs than fit into its memory is killed, and so is each next one.

Cause: all records were read into memory before the first was passed on, and each job was kept with its specification and tasks, whatever the bound on accepted jobs.

Change: records are read page by page (kv_ops.range_page, for both adapters). Stored jobs beyond the bound are parked, with only id and state in memory: calls for them are answered, and they are read as there is room. One with recorded runs is read before the first event. New jobs are refused while some are parked.

--- a/bench/steps.c
+++ b/bench/steps.c
@@ -205,6 +205,9 @@
 			((struct job *)m->jobs->pdata[e->call_ref - 1])
 				->accepted = TRUE;
 		break;
+	case SCH_EFFECT_READ_JOB:
+		/* Only with a bound on the memory of jobs. */
+		break;
 	}
 	sch_effect_clear(e);
 }
--- a/cell/cell_test.h
+++ b/cell/cell_test.h
@@ -50,6 +50,8 @@
 	GArray *runs;
 	/** Starts that the worker has received. */
 	guint starts;
+	/** Stops that the worker has received; it carries none out. */
+	guint stops;
 	/** Number of the worker's last end record. */
 	guint64 last_end;
 	/** As in struct cell_entry_options. */
@@ -189,6 +191,8 @@
 		g_array_append_val(cell->runs, run);
 		cell->starts++;
 	}
+	if (call->kind == RUNS_CALL_STOP)
+		cell->stops++;
 	if (call->kind == RUNS_CALL_RENEW_LEASE)
 		set_run_lists(cell, &answer);
 	cell_agent_worker_answered(cell->agent, &answer);
--- a/cell/entry.c
+++ b/cell/entry.c
@@ -476,6 +476,21 @@
 	cell_lead_load_record(entry->lead, key, value);
 }
 
+static const char *next_job(void *ctx)
+{
+	struct cell_entry *entry = ctx;
+
+	return cell_lead_next_job(entry->lead);
+}
+
+static void on_job_read(void *ctx, const char *id, GBytes *job,
+			GBytes *progress)
+{
+	struct cell_entry *entry = ctx;
+
+	cell_lead_job_read(entry->lead, id, job, progress, !entry->leading);
+}
+
 /* Sends a heartbeat to the leader, if due. */
 static void send_heartbeat(struct cell_entry *entry, gint64 now_ms)
 {
@@ -628,6 +643,8 @@
 			.on_evacuations = on_evacuations,
 			.on_node = on_node,
 			.on_record = on_record,
+			.next_job = next_job,
+			.on_job_read = on_job_read,
 			.ctx = entry,
 		},
 	};
--- a/cell/fake_kv_test.h
+++ b/cell/fake_kv_test.h
@@ -37,6 +37,10 @@
 	/** Number of next transactions that are executed, but fail with
 	 * KV_ERROR_UNKNOWN as if their answer was lost. */
 	int lose_txns;
+	/** Maximum number of keys in a page; 0 for no bound. */
+	guint page_keys;
+	/** Pages that were read. */
+	guint pages;
 	/** Transactions are not executed, and each call fails with
 	 * KV_ERROR_UNKNOWN as if it got no answer. */
 	gboolean down;
@@ -68,6 +72,7 @@
 	/** The callback of the call's kind; the others are NULL. */
 	kv_txn_fn txn_fn;
 	kv_range_fn range_fn;
+	kv_page_fn page_fn;
 	kv_lease_fn lease_fn;
 	void *ctx;
 	/** Answered with KV_ERROR_UNKNOWN. */
@@ -78,6 +83,7 @@
 	gint64 revision;
 	gint64 lease;
 	gboolean no_lease;
+	gboolean more;
 	GPtrArray *pairs;
 };
 
@@ -169,6 +175,9 @@
 		error = g_error_new(KV_ERROR, KV_ERROR_NO_LEASE, "no lease");
 	if (call->txn_fn)
 		call->txn_fn(call->ctx, error ? NULL : &result, error);
+	else if (call->page_fn)
+		call->page_fn(call->ctx, error ? NULL : call->pairs, call->more,
+			      error);
 	else if (call->range_fn)
 		call->range_fn(call->ctx, error ? NULL : call->pairs,
 			       call->revision, error);
@@ -277,6 +286,33 @@
 								  k->data)));
 }
 
+static inline void fake_range_page(struct kv *kv, const char *prefix,
+				   const char *after, kv_page_fn fn, void *ctx)
+{
+	struct fake_kv *fake = (struct fake_kv *)kv;
+	struct fake_call *call = fake_call_new(fake, ctx);
+	g_autoptr(GList) keys = g_list_sort(g_hash_table_get_keys(fake->items),
+					    (GCompareFunc)strcmp);
+	GList *k;
+
+	fake->pages++;
+	call->page_fn = fn;
+	call->pairs = g_ptr_array_new_with_free_func(fake_free_pair);
+	for (k = keys; k && !call->more; k = k->next) {
+		if (!g_str_has_prefix(k->data, prefix) ||
+		    (after && strcmp(k->data, after) <= 0))
+			continue;
+		if (fake->page_keys && call->pairs->len == fake->page_keys)
+			call->more = TRUE;
+		else
+			g_ptr_array_add(
+				call->pairs,
+				fake_pair_new(k->data,
+					      g_hash_table_lookup(fake->items,
+								  k->data)));
+	}
+}
+
 static inline void fake_lease_grant(struct kv *kv, gint64 ttl_ms G_GNUC_UNUSED,
 				    kv_lease_fn fn, void *ctx)
 {
@@ -380,6 +416,7 @@
 	static const struct kv_ops ops = {
 		.txn = fake_txn,
 		.range = fake_range,
+		.range_page = fake_range_page,
 		.lease_grant = fake_lease_grant,
 		.lease_keepalive = fake_lease_keepalive,
 		.lease_revoke = fake_lease_revoke,
@@ -436,6 +473,16 @@
 	fake->refusing = FALSE;
 }
 
+static inline void client_range_page(struct kv *kv, const char *prefix,
+				     const char *after, kv_page_fn fn,
+				     void *ctx)
+{
+	struct fake_kv *fake = client_begin(kv);
+
+	fake_range_page(&fake->kv, prefix, after, fn, ctx);
+	fake->refusing = FALSE;
+}
+
 static inline void client_lease_grant(struct kv *kv, gint64 ttl_ms,
 				      kv_lease_fn fn, void *ctx)
 {
@@ -488,6 +535,7 @@
 	static const struct kv_ops ops = {
 		.txn = client_txn,
 		.range = client_range,
+		.range_page = client_range_page,
 		.lease_grant = client_lease_grant,
 		.lease_keepalive = client_lease_keepalive,
 		.lease_revoke = client_lease_revoke,
--- a/cell/internal.h
+++ b/cell/internal.h
@@ -251,6 +251,13 @@
 	 * removed. */
 	void (*on_node)(void *ctx, const char *name, GBytes *value);
 	void (*on_record)(void *ctx, const char *key, GBytes *value);
+	/** Returns the id of a job whose records have to be read again before
+	 * on_records_loaded, or NULL. */
+	const char *(*next_job)(void *ctx);
+	/** The records of a job were read again; either is NULL if it does not
+	 * exist. */
+	void (*on_job_read)(void *ctx, const char *id, GBytes *job,
+			    GBytes *progress);
 	void *ctx;
 };
 
@@ -286,6 +293,8 @@
 /** Writes txn, which it takes over, on the condition that this process still
  * leads; one transaction at a time. */
 void cell_store_commit(struct cell_store *store, struct kv_txn *txn);
+/** Reads the records of a job; on_job_read follows. One at a time. */
+void cell_store_read_job(struct cell_store *store, const char *id);
 /** Time of the boot clock up to which all changes of the configuration tables
  * have been passed to on_tables, and all changes of the evacuated zones to
  * on_evacuations; 0 if they were not read yet. */
@@ -334,6 +343,12 @@
 /** Loads a stored record; to be called before other events. */
 void cell_lead_load_record(struct cell_lead *lead, const char *key,
 			   GBytes *value);
+/** As in struct cell_store_handler. */
+const char *cell_lead_next_job(const struct cell_lead *lead);
+/** The records of a job were read; as cell_lead_load_record() before other
+ * events. */
+void cell_lead_job_read(struct cell_lead *lead, const char *id, GBytes *job,
+			GBytes *progress, gboolean loading);
 /** Applies the queues, which it takes over. */
 void cell_lead_set_tables(struct cell_lead *lead, GPtrArray *queues);
 /** Applies the registered address of a process; value as in on_node. */
--- a/cell/lead.c
+++ b/cell/lead.c
@@ -212,6 +212,9 @@
 			cell_store_commit(lead->options.store,
 					  g_steal_pointer(&effect->txn));
 		break;
+	case SCH_EFFECT_READ_JOB:
+		cell_store_read_job(lead->options.store, effect->job_id);
+		break;
 	}
 }
 
@@ -422,6 +425,27 @@
 			   key, len);
 }
 
+const char *cell_lead_next_job(const struct cell_lead *lead)
+{
+	return sch_parked_with_runs(lead->sch);
+}
+
+void cell_lead_job_read(struct cell_lead *lead, const char *id, GBytes *job,
+			GBytes *progress, gboolean loading)
+{
+	struct sch_event ev = {
+		.kind = SCH_EVENT_JOB_READ,
+		.job_id = id,
+		.job_record = job,
+		.progress_record = progress,
+	};
+
+	if (!loading)
+		reduce(lead, &ev);
+	else if (sch_load_parked(lead->sch, id, job, progress, unix_ms()) < 0)
+		g_critical("records of job %s are missing or malformed", id);
+}
+
 void cell_lead_set_evacuations(struct cell_lead *lead)
 {
 	const GArray *list = cell_store_evacuations(lead->options.store);
@@ -742,6 +766,8 @@
 		  stats.jobs_running);
 	obs_gauge(metrics, "radishpier_step_jobs", "state=\"ended\"",
 		  stats.jobs_ended);
+	obs_gauge(metrics, "radishpier_step_parked_jobs", NULL,
+		  stats.jobs_parked);
 	obs_gauge(metrics, "radishpier_step_runs", NULL, stats.runs);
 	obs_gauge(metrics, "radishpier_vms", "usable=\"yes\"",
 		  stats.vms_usable);
--- a/cell/store.c
+++ b/cell/store.c
@@ -81,53 +81,12 @@
 	store->txn_sent = FALSE;
 	store->looking_up = FALSE;
 	cell_late_lost(&store->late);
+	cell_store_stop_reads(store);
 	stop_watches(store);
 	if (was_elected)
 		store->handler.on_deposed(store->handler.ctx);
 }
 
-static void on_loaded(void *arg, const GPtrArray *pairs,
-		      gint64 revision G_GNUC_UNUSED, const GError *error)
-{
-	g_autofree struct call_ctx *ctx = arg;
-	struct cell_store *store = ctx->store;
-	guint i;
-
-	if (end_call(ctx))
-		return;
-	store->busy = FALSE;
-	if (error) {
-		g_message("cannot read the records, will retry: %s",
-			  error->message);
-		store->next_ms = store->now_ms + RETRY_MS;
-		return;
-	}
-	for (i = 0; i < pairs->len; i++) {
-		const struct kv_pair *pair = pairs->pdata[i];
-
-		if (!strcmp(pair->key, CELL_COMMIT_KEY))
-			store->commit_revision = pair->mod_revision;
-		else
-			store->handler.on_record(store->handler.ctx, pair->key,
-						 pair->value);
-	}
-	store->state = STORE_LEADING;
-	g_message("leads with fencing token %" G_GINT64_FORMAT
-		  ", all records are read",
-		  store->fencing_token);
-	store->handler.on_records_loaded(store->handler.ctx,
-					 (guint64)store->fencing_token);
-}
-
-/* Keys of jobs sort before those of their progress, so a single read yields
- * each job before its progress. */
-static void load_records(struct cell_store *store)
-{
-	store->busy = TRUE;
-	store->kv->ops->range(store->kv, CELL_RECORDS_PREFIX, FALSE, 0,
-			      on_loaded, call_ctx_new(store));
-}
-
 static void become_leader(struct cell_store *store, gint64 fencing_token,
 			  gint64 sent_ms)
 {
@@ -138,7 +97,7 @@
 	store->confirm_ms = store->now_ms + CONFIRM_MS;
 	store->handler.on_elected(store->handler.ctx, (guint64)fencing_token,
 				  sent_ms);
-	load_records(store);
+	cell_store_load_records(store);
 }
 
 static void on_removed(void *arg, const struct kv_txn_result *result,
@@ -509,6 +468,7 @@
 void cell_store_free(struct cell_store *store)
 {
 	stop_watches(store);
+	cell_store_stop_reads(store);
 	if (store->txn)
 		kv_txn_free(store->txn);
 	g_hash_table_unref(store->open_calls);
@@ -616,9 +576,12 @@
 		break;
 	case STORE_LOADING:
 		maintain_leadership(store);
-		if (store->state == STORE_LOADING && !store->busy &&
-		    now_ms >= store->next_ms)
-			load_records(store);
+		if (store->state != STORE_LOADING)
+			break;
+		if (store->job_id)
+			cell_store_send_job_read(store);
+		else if (!store->busy && now_ms >= store->next_ms)
+			cell_store_load_records(store);
 		break;
 	case STORE_LEADING:
 		maintain_leadership(store);
@@ -626,6 +589,7 @@
 			break;
 		cell_store_send_txn(store);
 		cell_store_look_up_txn(store);
+		cell_store_send_job_read(store);
 		for (i = 0; i < N_WATCHES; i++)
 			read_watched_keys(&store->watches[i]);
 		break;
--- a/cell/store_internal.h
+++ b/cell/store_internal.h
@@ -67,6 +67,15 @@
 	/** Revision and last number of the commit key. */
 	gint64 commit_revision;
 	guint64 commit_number;
+	/** Last key of the records read so far; NULL before the first page. */
+	char *loaded_through;
+	/** Id of the job whose records are to be read, or NULL; the first of
+	 * them once it is read; whether a read is in flight, and when the next
+	 * one is sent. */
+	char *job_id;
+	GBytes *job_record;
+	gboolean job_reading;
+	gint64 job_next_ms;
 	/** Transaction to be committed, with its conditions; NULL for none. */
 	struct kv_txn *txn;
 	/** The transaction, or the check of its outcome, is in flight. */
@@ -159,6 +168,14 @@
 /** Ends the candidacy or the leadership of this process. */
 void cell_store_depose(struct cell_store *store, const char *why);
 
+/* records.c */
+/** Reads the next page of the records. */
+void cell_store_load_records(struct cell_store *store);
+/** Reads the records of the job that is to be read, if that is due. */
+void cell_store_send_job_read(struct cell_store *store);
+/** Ends all reads of records. */
+void cell_store_stop_reads(struct cell_store *store);
+
 /* commit.c */
 /** Sends the transaction that is to be committed, if there is one and it is
  * due. */
--- a/kv/kv.h
+++ b/kv/kv.h
@@ -107,6 +107,10 @@
 typedef void (*kv_range_fn)(void *ctx, const GPtrArray *pairs, gint64 revision,
 			    const GError *error);
 
+/** As kv_range_fn, for a part of the keys; more is TRUE if others follow. */
+typedef void (*kv_page_fn)(void *ctx, const GPtrArray *pairs, gboolean more,
+			   const GError *error);
+
 /** ttl_ms is the remaining time to live; 0 after a revocation or an error. */
 typedef void (*kv_lease_fn)(void *ctx, gint64 lease, gint64 ttl_ms,
 			    const GError *error);
@@ -154,6 +158,11 @@
 	 */
 	void (*range)(struct kv *kv, const char *prefix, gboolean exact,
 		      gint64 min_revision, kv_range_fn fn, void *ctx);
+	/** Reads some of the keys that start with prefix and sort after the key
+	 * after, or the first if it is NULL: as many as the store returns at
+	 * once, so that a read of any number of keys takes little memory. */
+	void (*range_page)(struct kv *kv, const char *prefix, const char *after,
+			   kv_page_fn fn, void *ctx);
 	void (*lease_grant)(struct kv *kv, gint64 ttl_ms, kv_lease_fn fn,
 			    void *ctx);
 	void (*lease_keepalive)(struct kv *kv, gint64 lease, kv_lease_fn fn,
--- a/kv/kv_etcd.c
+++ b/kv/kv_etcd.c
@@ -22,6 +22,9 @@
 
 #define MS_PER_SECOND 1000
 
+/* Keys of a page. Values have up to KV_MAX_VALUE_BYTES. */
+#define PAGE_KEYS 16
+
 enum call_kind {
 	CALL_TXN,
 	CALL_RANGE,
@@ -55,8 +58,11 @@
 	union {
 		kv_txn_fn txn;
 		kv_range_fn range;
+		kv_page_fn page;
 		kv_lease_fn lease;
 	} fn;
+	/* Of CALL_RANGE: fn.page is set. */
+	gboolean is_page;
 	void *ctx;
 	gint64 lease;
 	char *body;
@@ -227,6 +233,13 @@
 		call->fn.txn(call->ctx, error ? NULL : &result, error);
 		break;
 	case CALL_RANGE:
+		if (call->is_page) {
+			call->fn.page(
+				call->ctx, pairs,
+				json_is_true(json_object_get(answer, "more")),
+				error);
+			break;
+		}
 		call->fn.range(call->ctx, pairs, revision, error);
 		break;
 	default:
@@ -440,6 +453,22 @@
 	send_call(call, json);
 }
 
+static void etcd_range_page(struct kv *kv, const char *prefix,
+			    const char *after, kv_page_fn fn, void *ctx)
+{
+	struct call *call = new_call(kv, CALL_RANGE, ctx);
+	json_t *json = json_object();
+
+	call->fn.page = fn;
+	call->is_page = TRUE;
+	kv_json_set_range(json, prefix, FALSE);
+	/* The key that follows it has a zero byte appended. */
+	if (after)
+		kv_json_set_bytes(json, "key", after, strlen(after) + 1);
+	kv_json_set_number(json, "limit", PAGE_KEYS);
+	send_call(call, json);
+}
+
 static void lease_call(struct kv *kv, enum call_kind kind, const char *key,
 		       gint64 number, kv_lease_fn fn, void *ctx)
 {
@@ -502,6 +531,7 @@
 static const struct kv_ops etcd_ops = {
 	.txn = etcd_txn,
 	.range = etcd_range,
+	.range_page = etcd_range_page,
 	.lease_grant = etcd_lease_grant,
 	.lease_keepalive = etcd_lease_keepalive,
 	.lease_revoke = etcd_lease_revoke,
--- a/kv/kv_test.c
+++ b/kv/kv_test.c
@@ -30,6 +30,9 @@
 	gint64 lease;
 	gint64 ttl_ms;
 	guint n_pairs;
+	gboolean more;
+	/* Keys of the pages read. */
+	GPtrArray *keys;
 	struct kv_pair first;
 	char *value;
 } got;
@@ -96,6 +99,21 @@
 	}
 }
 
+/* Adds the keys to got.keys; got.more is as in the answer. */
+static void on_page(void *ctx G_GNUC_UNUSED, const GPtrArray *pairs,
+		    gboolean more, const GError *error)
+{
+	guint i;
+
+	got.done = TRUE;
+	got.code = error ? error->code : -1;
+	got.more = more;
+	for (i = 0; pairs && i < pairs->len; i++)
+		g_ptr_array_add(
+			got.keys,
+			g_strdup(((struct kv_pair *)pairs->pdata[i])->key));
+}
+
 static void on_lease(void *ctx G_GNUC_UNUSED, gint64 lease, gint64 ttl_ms,
 		     const GError *error)
 {
@@ -393,6 +411,38 @@
 }
 END_TEST
 
+/* Guards against keys that are left out, or read twice, where a page ends. */
+START_TEST(test_pages)
+{
+	guint i;
+
+	got.keys = g_ptr_array_new_with_free_func(g_free);
+	for (i = 0; i < 40; i++) {
+		g_autofree char *key = g_strdup_printf("page/%02u", i);
+
+		ck_assert_int_eq(put_if(kv, key, "v", 0, 0), -1);
+	}
+	do {
+		const char *after =
+			got.keys->len
+				? g_ptr_array_index(got.keys, got.keys->len - 1)
+				: NULL;
+
+		kv->ops->range_page(kv, "page/", after, on_page, NULL);
+		wait_for_answer();
+		ck_assert_int_eq(got.code, -1);
+		ck_assert(!got.more || got.keys->len < 40);
+	} while (got.more);
+	ck_assert_uint_eq(got.keys->len, 40);
+	for (i = 0; i < 40; i++) {
+		g_autofree char *key = g_strdup_printf("page/%02u", i);
+
+		ck_assert_str_eq(got.keys->pdata[i], key);
+	}
+	g_ptr_array_unref(got.keys);
+}
+END_TEST
+
 /* Guards against counts of calls that differ from those of the store. */
 START_TEST(test_counts)
 {
@@ -451,6 +501,7 @@
 	tcase_add_test(tcase, test_watch);
 	tcase_add_test(tcase, test_watch_end);
 	tcase_add_test(tcase, test_read_of_changes);
+	tcase_add_test(tcase, test_pages);
 	tcase_add_test(tcase, test_counts);
 	tcase_add_test(tcase, test_limits);
 	suite_add_tcase(suite, tcase);
--- a/sched/admission.c
+++ b/sched/admission.c
@@ -106,7 +106,7 @@
 	const struct sch_options *options = &s->options;
 	gboolean too_many = options->max_jobs &&
 			    s->active->len >= options->max_jobs;
-	guint64 bytes = s->admitted_bytes + job_bytes(spec) +
+	guint64 bytes = s->admitted_bytes + s->parked_bytes + job_bytes(spec) +
 			(guint64)s->ended.length * ENDED_JOB_BYTES;
 	gboolean too_large = options->max_job_bytes &&
 			     bytes > options->max_job_bytes;
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -333,7 +333,7 @@
 struct sch_job {
 	char *id;
 	char *queue;
-	/** NULL once only the state is kept. */
+	/** NULL while the job is parked, and once only the state is kept. */
 	struct Rp__StepJob *spec;
 	Rp__JobState state;
 	/** The last durable state: callers learn of the job's end from it. */
@@ -358,8 +358,12 @@
 	/** Boot clock. */
 	gint64 accepted_ms;
 	gint64 ended_unix_ms;
-	/** Its part of struct sch.admitted_bytes. */
+	/** Its part of struct sch.admitted_bytes, and, if the job is parked, of
+	 * struct sch.parked_bytes; else 0. */
 	guint64 admitted_bytes;
+	guint64 parked_bytes;
+	/** Since when it is in memory without a run, boot clock. */
+	gint64 idle_since_ms;
 	/** A transaction with the job's records took effect; a later one may
 	 * have deleted them. */
 	gboolean stored;
@@ -428,6 +432,15 @@
 	/** Memory of accepted jobs whose tasks are kept, with one open
 	 * occurrence of each. */
 	guint64 admitted_bytes;
+	/** Parked jobs, the next to be read first, and their memory if all were
+	 * read. */
+	GQueue parked;
+	guint64 parked_bytes;
+	/** Of these, jobs that have to be read before the first event. */
+	GQueue parked_with_runs;
+	/** A parked job is being read. */
+	gboolean reading_parked;
+	gint64 last_rotation_ms;
 	/** Tasks of open occurrences beyond the first of each job. */
 	guint backlog_tasks;
 	struct sch_drain drain;
@@ -817,7 +830,21 @@
  * that were never sent to the store. */
 void sch_commit_check_timeout(struct sch *s);
 
+/* parked.c */
+/** Parks a job that was just loaded if it is beyond the bound on memory. */
+void sch_parked_check_loaded(struct sch *s, struct sch_job *job);
+/** Takes the state of a parked job from its progress; TRUE if the job has runs,
+ * so that the rest follows when it is read again. No effect on other jobs. */
+gboolean sch_parked_load_progress(struct sch *s, struct sch_job *job,
+				  const struct Rp__StepProgress *progress);
+/** The job is parked no longer; returns FALSE if it was not. */
+gboolean sch_parked_remove(struct sch *s, struct sch_job *job);
+/** Reads the next parked job if there is room for it. */
+void sch_parked_tick(struct sch *s);
+
 /* record.c */
+/** Returns the specification in a job's record, or NULL if it is not valid. */
+struct Rp__StepJob *sch_record_read_job(GBytes *record);
 GBytes *sch_record_job(const struct sch_job *job);
 GBytes *sch_record_progress(const struct sch_job *job);
 
--- a/sched/job.c
+++ b/sched/job.c
@@ -35,8 +35,8 @@
 		return "number of steps out of range";
 	if (spec->payload.len > SCH_MAX_PAYLOAD_BYTES)
 		return "payload too long";
-	if (spec->occurrences > SCH_MAX_OCCURRENCES || spec->interval_ms < 0)
-		return "schedule out of range";
+	if (spec->occurrences > SCH_MAX_OCCURRENCES)
+		return "number of occurrences out of range";
 	for (i = 0; i < spec->n_steps; i++) {
 		problem = check_step(spec, i);
 		if (problem)
@@ -79,6 +79,7 @@
 	job->n_occurrences = MAX(spec->occurrences, 1);
 	job->open = g_ptr_array_new();
 	job->accepted_ms = s->now_ms;
+	job->idle_since_ms = s->now_ms;
 	job->pending_calls = g_array_new(FALSE, FALSE,
 					 sizeof(struct sch_pending_call));
 	sch_admission_add(s, job);
@@ -292,6 +293,7 @@
 	job->ended_unix_ms = s->unix_ms;
 	sch_drain_add(&s->drain, s->now_ms);
 	g_ptr_array_remove(s->active, job);
+	sch_parked_remove(s, job);
 	g_queue_push_tail(&s->ended, job);
 	g_log_structured(
 		G_LOG_DOMAIN, G_LOG_LEVEL_INFO, "JOB_ID", job->id, "MESSAGE",
--- a/sched/model_io_test.h
+++ b/sched/model_io_test.h
@@ -343,6 +343,9 @@
 		case SCH_EFFECT_REPLY:
 			apply_reply(m, e);
 			break;
+		case SCH_EFFECT_READ_JOB:
+			ck_abort_msg("a job is parked without a bound");
+			break;
 		}
 		sch_effect_clear(e);
 	}
--- a/sched/record.c
+++ b/sched/record.c
@@ -77,18 +77,36 @@
 	return g_bytes_new_take(data, len);
 }
 
-int sch_load_job(struct sch *s, const char *id, const void *data, size_t len)
+static struct Rp__StepJob *read_job(const void *data, size_t len)
 {
 	struct Rp__StepJob *spec = rp__step_job__unpack(NULL, len, data);
-	struct sch_job *job;
 
 	if (!spec)
-		return -1;
-	if (sch_job_check(spec) || g_hash_table_contains(s->jobs, id)) {
+		return NULL;
+	if (sch_job_check(spec)) {
 		rp__step_job__free_unpacked(spec, NULL);
-		return -1;
+		return NULL;
 	}
 	sch_job_normalise(spec);
+	return spec;
+}
+
+struct Rp__StepJob *sch_record_read_job(GBytes *record)
+{
+	return read_job(g_bytes_get_data(record, NULL),
+			g_bytes_get_size(record));
+}
+
+int sch_load_job(struct sch *s, const char *id, const void *data, size_t len)
+{
+	struct Rp__StepJob *spec;
+	struct sch_job *job;
+
+	if (g_hash_table_contains(s->jobs, id))
+		return -1;
+	spec = read_job(data, len);
+	if (!spec)
+		return -1;
 	job = sch_job_new(s, id, spec);
 	job->accepted_ms = s->now_ms -
 			   MAX(s->unix_ms - spec->submitted_unix_ms, 0);
@@ -97,6 +115,7 @@
 	job->durable_state = job->state;
 	g_hash_table_insert(s->jobs, job->id, job);
 	g_ptr_array_add(s->active, job);
+	sch_parked_check_loaded(s, job);
 	return 0;
 }
 
@@ -207,6 +226,10 @@
 		return -1;
 	if (!job)
 		job = ended_job_new(s, id, progress->queue);
+	if (sch_parked_load_progress(s, job, progress)) {
+		rp__step_progress__free_unpacked(progress, NULL);
+		return 0;
+	}
 	if (job->spec)
 		result = load_tasks(s, job, progress);
 	job->state = progress->state;
@@ -214,6 +237,9 @@
 	job->ended_unix_ms = progress->ended_unix_ms;
 	if (sch_job_has_ended(job)) {
 		g_ptr_array_remove(s->active, job);
+		/* Its record is still to be deleted. */
+		if (sch_parked_remove(s, job))
+			sch_job_mark_dirty(s, job);
 		sch_job_stop_runs(s, job);
 		g_queue_push_tail(&s->ended, job);
 		g_ptr_array_add(s->closing, job);
--- a/sched/run.c
+++ b/sched/run.c
@@ -76,6 +76,7 @@
 		task->instance->n_idle++;
 	task->instance->occurrence->n_runs--;
 	job->n_runs--;
+	job->idle_since_ms = s->now_ms;
 	s->stats.runs--;
 	s->place_due = TRUE;
 	sch_run_free(run);
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -31,6 +31,7 @@
 void sch_effect_clear(struct sch_effect *effect)
 {
 	g_free(effect->vm);
+	g_free(effect->job_id);
 	wire_frame_free(effect->frame);
 	if (effect->txn)
 		kv_txn_free(effect->txn);
@@ -103,6 +104,8 @@
 	g_queue_clear(&s->dirty);
 	g_queue_clear(&s->awaited);
 	g_queue_clear(&s->ended);
+	g_queue_clear(&s->parked);
+	g_queue_clear(&s->parked_with_runs);
 	g_ptr_array_unref(s->vms_with_orders);
 	g_ptr_array_unref(s->active);
 	g_ptr_array_unref(s->closing);
@@ -172,6 +175,21 @@
 	sch_commit_check_timeout(s);
 	sch_reschedule(s);
 	expire_jobs(s);
+	sch_parked_tick(s);
+}
+
+static void read_parked(struct sch *s, const struct sch_event *ev)
+{
+	struct sch_job *job = g_hash_table_lookup(s->jobs, ev->job_id);
+
+	if (sch_load_parked(s, ev->job_id, ev->job_record, ev->progress_record,
+			    ev->unix_ms) < 0)
+		g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_CRITICAL, "JOB_ID",
+				 ev->job_id, "MESSAGE",
+				 "the records of the job are missing or "
+				 "malformed; they will be read again");
+	if (job)
+		sch_job_advance(s, job);
 }
 
 static void dispatch(struct sch *s, const struct sch_event *ev)
@@ -209,6 +227,9 @@
 		s->last_revision = MAX(s->last_revision, ev->revision);
 		sch_commit_done(s);
 		break;
+	case SCH_EVENT_JOB_READ:
+		read_parked(s, ev);
+		break;
 	case SCH_EVENT_DEPOSED:
 		sch_commit_deposed(s);
 		break;
@@ -241,6 +262,7 @@
 
 	*stats = s->stats;
 	stats->jobs_ended = s->ended.length;
+	stats->jobs_parked = s->parked.length;
 	for (i = 0; i < s->active->len; i++) {
 		const struct sch_job *job = s->active->pdata[i];
 
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -87,8 +87,8 @@
 	/** While accepted jobs wait, no job is accepted beyond this number of
 	 * jobs that have not ended; 0 for no bound. */
 	guint max_jobs;
-	/** No job is accepted beyond this memory of accepted ones; 0 for no
-	 * bound. */
+	/** No job is accepted beyond this memory of accepted ones, and stored
+	 * jobs beyond it are kept in the store only; 0 for no bound. */
 	guint64 max_job_bytes;
 };
 
@@ -120,6 +120,9 @@
 	SCH_EVENT_REPORT,
 	/** The transaction in flight took effect at revision. */
 	SCH_EVENT_COMMITTED,
+	/** The records of job_id were read; progress_record is NULL if there is
+	 * none. */
+	SCH_EVENT_JOB_READ,
 	/** Another process was elected; all pending calls are answered. */
 	SCH_EVENT_DEPOSED,
 };
@@ -140,6 +143,9 @@
 	const struct Rp__StepCall *call;
 	const char *vm;
 	const struct Rp__VmReport *report;
+	const char *job_id;
+	GBytes *job_record;
+	GBytes *progress_record;
 };
 
 enum sch_effect_kind {
@@ -151,6 +157,8 @@
 	SCH_EFFECT_ORDERS,
 	/** Writes txn on condition that this process is still the leader. */
 	SCH_EFFECT_COMMIT,
+	/** Reads the records of job_id; SCH_EVENT_JOB_READ follows. */
+	SCH_EFFECT_READ_JOB,
 };
 
 /** Owned by the I/O layer; see sch_effect_clear(). */
@@ -162,6 +170,7 @@
 	guint64 fencing_token;
 	struct Rp__Frame *frame;
 	struct kv_txn *txn;
+	char *job_id;
 };
 
 struct sch;
@@ -176,6 +185,13 @@
 int sch_load_job(struct sch *s, const char *id, const void *data, size_t len);
 int sch_load_progress(struct sch *s, const char *id, const void *data,
 		      size_t len, gint64 unix_ms);
+/** Returns the id of a job that has to be read again before the first event,
+ * since it did not fit into memory but has recorded runs; NULL if there is
+ * none. */
+const char *sch_parked_with_runs(const struct sch *s);
+/** As both of the above, for such a job; progress may be NULL. */
+int sch_load_parked(struct sch *s, const char *id, GBytes *job,
+		    GBytes *progress, gint64 unix_ms);
 /** As sch_load_job(), for the value of SCH_INTERFERENCE_KEY. */
 int sch_load_interference(struct sch *s, const void *data, size_t len);
 
@@ -245,6 +261,8 @@
 	guint jobs_waiting;
 	guint jobs_running;
 	guint jobs_ended;
+	/** Of the first two, jobs that are kept in the store only. */
+	guint jobs_parked;
 	guint runs;
 	guint vms;
 	guint vms_usable;
