sched: bound the leader's time for waiting gangs, steps and run lists

Accepted jobs of some shapes make the leader late for all others.

Cause: a waiting gang planned its members one by one in each pass, took them back, and marked its job for writing; with one rack preferred it did so for each VM. A pass looked at the VMs for each waiting step and retry, without a bound. Each row of a run list was compared with each run.

Change: a gang is planned only if its members fit by their resources, and an attempt that fails leaves no trace; each rack is tried once. A pass has a bound on its looks, half for the most urgent steps, half for the others by turns. Runs of a VM are found by name and attempt.

--- a/sched/internal.h
+++ b/sched/internal.h
@@ -157,6 +157,8 @@
 	gint64 unresponsive_ms;
 	/** Runs on this worker, also orphaned ones; owned. */
 	GPtrArray *runs;
+	/** The same, by name and attempt. */
+	GHashTable *run_index;
 	/** Tasks of listed runs that no record names; such runs are stopped. */
 	GHashTable *unknown_runs;
 	/** End records that are not durable yet: struct sch_end; owned. */
@@ -301,6 +303,8 @@
 	gint64 full_scan_ms;
 	/** VMs with versions up to this were tried since. */
 	guint64 scanned_vm_version;
+	/** Task with which the next pass begins. */
+	guint next_task;
 	/** Its tasks fit only in evacuated zones, as of the last full scan. */
 	gboolean awaits_zone;
 };
@@ -488,6 +492,11 @@
 	/** An event may let more tasks start. */
 	gboolean place_due;
 	gint64 last_place_ms;
+	/** VMs and runs looked at in this pass. */
+	guint n_looks;
+	/** Position in the order of steps from which the next pass goes on with
+	 * those that the bound on looks left out. */
+	guint next_candidate;
 	/** Highest version of any VM. */
 	guint64 last_vm_version;
 	/** No quarantine ends later. */
@@ -596,7 +605,13 @@
 			    struct sch_vm *vm, guint32 attempt);
 /** Removes a run that is known to have ended, or never to have started. */
 void sch_run_remove(struct sch *s, struct sch_run *run);
+/** Removes a run that was planned in this event, without a trace; attempts is
+ * what its task had before. */
+void sch_run_unplan(struct sch *s, struct sch_run *run, guint32 attempts);
 void sch_run_free(struct sch_run *run);
+/** Of the name and the attempt, for struct sch_vm.run_index. */
+guint sch_run_hash(gconstpointer run);
+gboolean sch_run_equal(gconstpointer a, gconstpointer b);
 void sch_run_stop(struct sch *s, struct sch_run *run);
 /** Stops the members of a gang, except one run, which may be NULL. */
 void sch_run_stop_gang(struct sch *s, struct sch_step_instance *instance,
--- a/sched/place.c
+++ b/sched/place.c
@@ -5,6 +5,10 @@
  * steps with idle tasks. A step that did not fit anywhere tries only the VMs
  * that have changed since, and all of them at longer intervals, so that a pass
  * costs little when many steps wait.
+ *
+ * A pass has a bound on the VMs that it looks at, for loads of very many or
+ * very wide steps that wait. Half of it goes to the most urgent steps, the
+ * other half to the others by turns.
  */
 
 /** Minimum interval between passes. */
@@ -17,6 +21,13 @@
  */
 #define FULL_SCAN_INTERVAL_MS 250
 
+/** Bound on the VMs that a pass looks at; some milliseconds on a small entry. A
+ * step that is begun is not cut short, but for its retries. */
+#define MAX_LOOKS 50000
+
+/** VMs that are only checked for a change since, in the time of a look. */
+#define CHECKS_PER_LOOK 16
+
 /** Slowness above which SLOW_PENALTY applies, and no speculative run is placed
  * on the worker. */
 #define SLOW_FACTOR 1.8
@@ -274,6 +285,7 @@
 {
 	struct sch_best_effort_demand demand;
 
+	s->n_looks++;
 	if (!has_capacity(vm, instance->step) || !may_use(s, vm) ||
 	    !is_suitable(vm, instance, queue->pool, rack))
 		return FALSE;
@@ -403,27 +415,102 @@
 	return !task->done && !task->n_runs;
 }
 
+/* Returns how many tasks of the step fit on the VM by their resources, at most
+ * max. */
+static guint count_fitting(const struct sch_vm *vm,
+			   const struct sch_step_instance *instance, guint max)
+{
+	const struct Rp__StepSpec *step = instance->step;
+	const gint64 needs[] = { step->fills ? 0 : step->need->cpu_milli,
+				 step->need->memory_bytes,
+				 step->need->accelerators };
+	const gint64 free[] = {
+		vm->capacity.cpu_milli - vm->reserved.cpu_milli,
+		vm->capacity.memory_bytes - vm->reserved.memory_bytes,
+		vm->capacity.accelerators - vm->reserved.accelerators,
+	};
+	gint64 n = max;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(needs); i++)
+		if (free[i] < 0)
+			n = 0;
+		else if (needs[i])
+			n = MIN(n, free[i] / needs[i]);
+	if (step->max_per_vm)
+		n = MIN(n, (gint64)step->max_per_vm - count_on(vm, instance));
+	return (guint)MAX(n, 0);
+}
+
+/* FALSE if the members of a gang cannot all fit, whatever their placement. */
+static gboolean may_fit(struct sch *s, const struct sch_step_instance *instance,
+			const struct sch_queue *queue, const char *rack)
+{
+	guint left = instance->n_tasks;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, s->vms);
+	while (left && g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct sch_vm *vm = value;
+
+		s->n_looks++;
+		if (may_use(s, vm) &&
+		    is_suitable(vm, instance, queue->pool, rack))
+			left -= count_fitting(vm, instance, left);
+	}
+	return !left;
+}
+
 static gboolean plan_gang_in(struct sch *s, struct sch_step_instance *instance,
-			     const char *rack)
+			     const struct sch_queue *queue, const char *rack)
 {
-	g_autoptr(GPtrArray) planned = g_ptr_array_new();
+	g_autofree guint32 *attempts = NULL;
 	guint32 attempt = 0;
 	guint i;
 
-	for (i = 0; i < instance->n_tasks; i++)
-		attempt = MAX(attempt, instance->tasks[i].attempts);
+	prepare_scores(s, instance, queue);
+	if (!may_fit(s, instance, queue, rack))
+		return FALSE;
+	attempts = g_new(guint32, instance->n_tasks);
+	for (i = 0; i < instance->n_tasks; i++) {
+		attempts[i] = instance->tasks[i].attempts;
+		attempt = MAX(attempt, attempts[i]);
+	}
 	for (i = 0; i < instance->n_tasks; i++) {
 		struct sch_vm *vm = choose(s, &instance->tasks[i], rack);
 
 		if (!vm)
 			break;
-		plan(s, &instance->tasks[i], vm, attempt + 1);
-		g_ptr_array_add(planned, instance->tasks[i].runs[0]);
+		sch_run_new(s, &instance->tasks[i], vm, attempt + 1);
+		sch_spread_add_run(s, &instance->tasks[i], vm);
 	}
-	if (i == instance->n_tasks)
+	if (i == instance->n_tasks) {
+		sch_job_mark_awaited(s, instance->job);
 		return TRUE;
-	for (i = 0; i < planned->len; i++)
-		sch_run_remove(s, planned->pdata[i]);
+	}
+	while (i-- > 0)
+		sch_run_unplan(s, instance->tasks[i].runs[0], attempts[i]);
+	return FALSE;
+}
+
+/* Plans all members of a gang on VMs of one rack; FALSE if no rack has room. */
+static gboolean plan_gang_in_rack(struct sch *s,
+				  struct sch_step_instance *instance,
+				  const struct sch_queue *queue)
+{
+	g_autoptr(GHashTable) tried = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, s->vms);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct sch_vm *vm = value;
+
+		if (vm->rack && g_hash_table_add(tried, vm->rack) &&
+		    plan_gang_in(s, instance, queue, vm->rack))
+			return TRUE;
+	}
 	return FALSE;
 }
 
@@ -473,31 +560,28 @@
 }
 
 /* Plans runs for all members of a gang, or for none. */
-static void plan_gang(struct sch *s, struct sch_step_instance *instance)
+static void plan_gang(struct sch *s, const struct sch_candidate *c)
 {
-	g_autofree char *checkpoint = g_strdup(gang_checkpoint(instance));
-	GHashTableIter iter;
-	gpointer value;
+	struct sch_step_instance *instance = c->instance;
+	g_autofree char *checkpoint = NULL;
 	guint i;
 
-	if (instance->n_idle < instance->n_tasks)
+	if (instance->n_idle < instance->n_tasks ||
+	    (instance->scanned_vm_version >= s->last_vm_version &&
+	     s->now_ms < instance->full_scan_ms + FULL_SCAN_INTERVAL_MS))
 		return;
+	instance->scanned_vm_version = s->last_vm_version;
+	instance->full_scan_ms = s->now_ms;
+	checkpoint = g_strdup(gang_checkpoint(instance));
 	for (i = 0; checkpoint && i < instance->n_tasks; i++)
 		sch_task_set_checkpoint(&instance->tasks[i], checkpoint);
-	g_hash_table_iter_init(&iter, s->vms);
-	while (instance->step->same_rack &&
-	       g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct sch_vm *vm = value;
-
-		if (vm->rack && plan_gang_in(s, instance, vm->rack))
-			return;
-	}
 	/* One rack is preferred, not required. */
-	if (plan_gang_in(s, instance, NULL))
+	if ((instance->step->same_rack &&
+	     plan_gang_in_rack(s, instance, c->queue)) ||
+	    plan_gang_in(s, instance, c->queue, NULL))
 		instance->awaits_zone = FALSE;
 	else
-		note_awaited_zone(s, instance,
-				  sch_queue_find(s, instance->job->queue));
+		note_awaited_zone(s, instance, c->queue);
 }
 
 /* Sets s->placements to the VMs with a version above since where tasks of the
@@ -514,6 +598,7 @@
 		return;
 	prepare_scores(s, instance, queue);
 	g_hash_table_iter_init(&iter, s->vms);
+	s->n_looks += g_hash_table_size(s->vms) / CHECKS_PER_LOOK;
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct sch_placement placement = { .vm = value };
 
@@ -563,10 +648,15 @@
 	guint i;
 
 	for (i = 0; i < instance->n_tasks; i++) {
-		struct sch_task *task = &instance->tasks[i];
+		guint index = (instance->next_task + i) % instance->n_tasks;
+		struct sch_task *task = &instance->tasks[index];
 
 		if (!is_idle(task))
 			continue;
+		if (task->failures && s->n_looks >= MAX_LOOKS) {
+			instance->next_task = index;
+			break;
+		}
 		if (task->failures || task->moved_from ||
 		    may_interfere(s, task)) {
 			/* Retries have stricter rules, so later tasks may fit
@@ -585,6 +675,7 @@
 	}
 	if (i == instance->n_tasks) {
 		instance->awaits_zone = FALSE;
+		instance->next_task = 0;
 		return;
 	}
 	instance->scanned_vm_version = s->last_vm_version;
@@ -595,6 +686,36 @@
 	}
 }
 
+static void plan_candidate(struct sch *s, const GArray *candidates, guint i)
+{
+	const struct sch_candidate *c = &g_array_index(candidates,
+						       struct sch_candidate, i);
+
+	if (sch_job_has_ended(c->instance->job))
+		return;
+	if (c->instance->step->gang)
+		plan_gang(s, c);
+	else
+		plan_step(s, c);
+}
+
+/* Plans what the bound on looks has left out, from candidate first on,
+ * beginning where the last pass ended. */
+static void plan_others(struct sch *s, const GArray *candidates, guint first)
+{
+	guint n = candidates->len - first;
+	guint from = s->next_candidate >= first &&
+				     s->next_candidate < candidates->len
+			     ? s->next_candidate - first
+			     : 0;
+	guint i;
+
+	for (i = 0; i < n && s->n_looks < MAX_LOOKS; i++)
+		plan_candidate(s, candidates, first + (from + i) % n);
+	s->next_candidate = first + (from + i) % n;
+	s->place_due = s->place_due || i < n;
+}
+
 void sch_place(struct sch *s)
 {
 	g_autoptr(GArray) candidates = NULL;
@@ -607,18 +728,14 @@
 		return;
 	s->place_due = FALSE;
 	s->last_place_ms = s->now_ms;
+	s->n_looks = 0;
 	candidates = sch_collect_candidates(s);
-	for (i = 0; i < candidates->len; i++) {
-		const struct sch_candidate *c =
-			&g_array_index(candidates, struct sch_candidate, i);
-
-		if (sch_job_has_ended(c->instance->job))
-			continue;
-		if (c->instance->step->gang)
-			plan_gang(s, c->instance);
-		else
-			plan_step(s, c);
-	}
+	for (i = 0; i < candidates->len && s->n_looks < MAX_LOOKS / 2; i++)
+		plan_candidate(s, candidates, i);
+	if (i < candidates->len)
+		plan_others(s, candidates, i);
+	else
+		s->next_candidate = 0;
 }
 
 gboolean sch_place_has_better(struct sch *s, const struct sch_run *run,
--- a/sched/run.c
+++ b/sched/run.c
@@ -48,6 +48,7 @@
 	task->job->n_runs++;
 	task->job->has_progress = TRUE;
 	g_ptr_array_add(vm->runs, run);
+	g_hash_table_add(vm->run_index, run);
 	add_reserved(run, 1);
 	vm->headroom.valid = FALSE;
 	s->stats.runs++;
@@ -60,24 +61,41 @@
 	g_free(run);
 }
 
-void sch_run_remove(struct sch *s, struct sch_run *run)
+/* Removes the run from its task and its VM. */
+static void detach(struct sch *s, struct sch_run *run)
 {
 	struct sch_task *task = run->task;
-	struct sch_job *job = task->job;
 
 	add_reserved(run, -1);
-	sch_vm_changed(s, run->vm);
+	run->vm->headroom.valid = FALSE;
+	g_hash_table_remove(run->vm->run_index, run);
 	g_ptr_array_remove_fast(run->vm->runs, run);
-	g_ptr_array_remove(run->vm->starts, run);
 	if (task->runs[0] == run)
 		task->runs[0] = task->runs[1];
 	task->runs[--task->n_runs] = NULL;
 	if (!task->n_runs && !task->done)
 		task->instance->n_idle++;
 	task->instance->occurrence->n_runs--;
-	job->n_runs--;
-	job->idle_since_ms = s->now_ms;
+	task->job->n_runs--;
 	s->stats.runs--;
+}
+
+void sch_run_unplan(struct sch *s, struct sch_run *run, guint32 attempts)
+{
+	run->task->attempts = attempts;
+	detach(s, run);
+	sch_run_free(run);
+}
+
+void sch_run_remove(struct sch *s, struct sch_run *run)
+{
+	struct sch_task *task = run->task;
+	struct sch_job *job = task->job;
+
+	detach(s, run);
+	sch_vm_changed(s, run->vm);
+	g_ptr_array_remove(run->vm->starts, run);
+	job->idle_since_ms = s->now_ms;
 	s->place_due = TRUE;
 	sch_run_free(run);
 	sch_job_mark_dirty(s, job);
@@ -150,15 +168,24 @@
 struct sch_run *sch_run_find(const struct sch_vm *vm, const char *task,
 			     guint32 attempt)
 {
-	guint i;
+	const struct sch_run key = { .name = (char *)task, .attempt = attempt };
+
+	return g_hash_table_lookup(vm->run_index, &key);
+}
 
-	for (i = 0; i < vm->runs->len; i++) {
-		struct sch_run *run = vm->runs->pdata[i];
+guint sch_run_hash(gconstpointer run)
+{
+	const struct sch_run *r = run;
 
-		if (run->attempt == attempt && !strcmp(run->name, task))
-			return run;
-	}
-	return NULL;
+	return g_str_hash(r->name) + r->attempt;
+}
+
+gboolean sch_run_equal(gconstpointer a, gconstpointer b)
+{
+	const struct sch_run *x = a;
+	const struct sch_run *y = b;
+
+	return x->attempt == y->attempt && !strcmp(x->name, y->name);
 }
 
 /*
--- a/sched/vm.c
+++ b/sched/vm.c
@@ -50,6 +50,7 @@
 	vm->name = g_strdup(name);
 	vm->labels = g_ptr_array_new_with_free_func(g_free);
 	vm->runs = g_ptr_array_new();
+	vm->run_index = g_hash_table_new(sch_run_hash, sch_run_equal);
 	vm->unknown_runs = g_hash_table_new_full(g_str_hash, g_str_equal,
 						 g_free, NULL);
 	vm->starts = g_ptr_array_new();
@@ -63,6 +64,7 @@
 {
 	guint i;
 
+	g_hash_table_unref(vm->run_index);
 	for (i = 0; i < vm->runs->len; i++)
 		sch_run_free(vm->runs->pdata[i]);
 	g_ptr_array_unref(vm->runs);
@@ -417,17 +419,23 @@
 	sch_task_set_checkpoint(run->task, row->checkpoint);
 }
 
-static gboolean is_listed(const struct Rp__VmReport *report,
-			  const struct sch_run *run)
+/* Returns the VM's runs that the report lists as running, as a set. */
+static GHashTable *listed_runs(const struct sch_vm *vm,
+			       const struct Rp__VmReport *report)
 {
+	GHashTable *listed = g_hash_table_new(NULL, NULL);
 	size_t i;
 
-	for (i = 0; i < report->n_running; i++)
-		if (report->running[i]->run &&
-		    report->running[i]->run->attempt == run->attempt &&
-		    !strcmp(report->running[i]->run->task, run->name))
-			return TRUE;
-	return FALSE;
+	for (i = 0; i < report->n_running; i++) {
+		const struct Rp__RunName *name = report->running[i]->run;
+		struct sch_run *run = name ? sch_run_find(vm, name->task,
+							  name->attempt)
+					   : NULL;
+
+		if (run)
+			g_hash_table_add(listed, run);
+	}
+	return listed;
 }
 
 /*
@@ -437,6 +445,7 @@
 static void sync_runs(struct sch *s, struct sch_vm *vm,
 		      const struct Rp__VmReport *report)
 {
+	g_autoptr(GHashTable) listed = listed_runs(vm, report);
 	guint i;
 
 	g_ptr_array_set_size(vm->starts, 0);
@@ -447,12 +456,12 @@
 		if (run->state == SCH_RUN_PLANNED)
 			continue;
 		if (run->stopping ||
-		    (run->orphaned && !is_listed(report, run))) {
+		    (run->orphaned && !g_hash_table_contains(listed, run))) {
 			/* Cleared so that sch_run_stop() orders the stop again.
 			 * A stop also prevents a start that is in flight. */
 			run->stopping = FALSE;
 			sch_run_stop(s, run);
-		} else if (!is_listed(report, run)) {
+		} else if (!g_hash_table_contains(listed, run)) {
 			run->state = SCH_RUN_ORDERED;
 			run->state_ms = s->now_ms;
 			sch_vm_order_start(s, run);
--- a/sched/worker_test.h
+++ b/sched/worker_test.h
@@ -1,8 +1,23 @@
 #ifndef SCHED_WORKER_TEST_H
 #define SCHED_WORKER_TEST_H
 
+#include <time.h>
+
 #include "leader_test.h"
 
+/** CPU time that a leader may need for an event: three of its ticks, with the
+ * CPU share of a small entry, a quarter. */
+#define MAX_EVENT_MS 15
+
+/* Returns the CPU time of this process, us. */
+G_GNUC_UNUSED static gint64 cpu_us(void)
+{
+	struct timespec time;
+
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+	return (gint64)time.tv_sec * G_USEC_PER_SEC + time.tv_nsec / 1000;
+}
+
 /* A worker on vm1 that ends each task as soon as it was started. */
 
 /** Tasks that were started, and the number of end records of the worker. */
