sched: weigh cheap checks in the bound on looks of a pass

A pass on 240 VMs with some hundred waiting steps reached the bound by checks that take a sixteenth of a look, and left steps to the next pass.

--- a/cell/internal.h
+++ b/cell/internal.h
@@ -345,8 +345,8 @@
 			   GBytes *value);
 /** As in struct cell_store_handler. */
 const char *cell_lead_next_job(const struct cell_lead *lead);
-/** The records of a job were read; as cell_lead_load_record() before other
- * events. */
+/** The records of a job were read, either before other events (loading), as for
+ * cell_lead_load_record(), or later. */
 void cell_lead_job_read(struct cell_lead *lead, const char *id, GBytes *job,
 			GBytes *progress, gboolean loading);
 /** Applies the queues, which it takes over. */
--- a/sched/internal.h
+++ b/sched/internal.h
@@ -19,6 +19,9 @@
 /** Occurrences start this long after their due time, since clocks differ. */
 #define SCH_DUE_SLACK_MS 120
 
+/** Checks of a VM or a run that take the time of a look; see sch.n_looks. */
+#define SCH_CHECKS_PER_LOOK 16
+
 /** Workers cap the leases that they accept at this. */
 #define SCH_MAX_LEASE_MS 10000
 
@@ -492,7 +495,7 @@
 	/** An event may let more tasks start. */
 	gboolean place_due;
 	gint64 last_place_ms;
-	/** VMs and runs looked at in this pass. */
+	/** Looks in this pass: whether a task may start on a VM. */
 	guint n_looks;
 	/** Position in the order of steps from which the next pass goes on with
 	 * those that the bound on looks left out. */
--- a/sched/move.c
+++ b/sched/move.c
@@ -254,7 +254,7 @@
 		if (sch_vm_is_usable(s, value))
 			needed_cpu_milli -= add_victims(s, victims, value,
 							priority);
-	s->n_looks += s->stats.runs;
+	s->n_looks += s->stats.runs / SCH_CHECKS_PER_LOOK;
 	g_array_sort(victims, compare_victims);
 	for (i = 0; i < victims->len && needed_cpu_milli > 0; i++) {
 		struct sch_run *run =
--- a/sched/place.c
+++ b/sched/place.c
@@ -25,9 +25,6 @@
  * step that is begun is not cut short, but for its retries. */
 #define MAX_LOOKS 50000
 
-/** VMs that are only checked for a change since, in the time of a look. */
-#define CHECKS_PER_LOOK 16
-
 /** Slowness above which SLOW_PENALTY applies, and no speculative run is placed
  * on the worker. */
 #define SLOW_FACTOR 1.8
@@ -598,7 +595,7 @@
 		return;
 	prepare_scores(s, instance, queue);
 	g_hash_table_iter_init(&iter, s->vms);
-	s->n_looks += g_hash_table_size(s->vms) / CHECKS_PER_LOOK;
+	s->n_looks += g_hash_table_size(s->vms) / SCH_CHECKS_PER_LOOK;
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct sch_placement placement = { .vm = value };
 
