sched: send orders to an agent in parts

Cause: all starts for a worker went into one message, each with the payload. A frame above 2 MB is dropped, and the leader took its starts for sent.

Change: a message has about 64 KB of stops and starts, the others follow with the next ticks.

Evidence: test_orders_are_sent_in_parts fails before (one message of 4.0 MB, bound a tenth of a frame) and passes now.

--- a/sched/bound_test.c
+++ b/sched/bound_test.c
@@ -243,6 +243,57 @@
 }
 END_TEST
 
+/*
+ * Guards against a message to an agent that is longer than a frame may be, and
+ * so dropped, and against messages that take the leader's memory, as each start
+ * carries its job's payload.
+ */
+START_TEST(test_orders_are_sent_in_parts)
+{
+	struct leader l;
+	struct Rp__StepSpec step;
+	struct Rp__Resources need;
+	struct Rp__StepSpec *steps[] = { &step };
+	struct Rp__StepJob job;
+	g_autofree uint8_t *payload = g_malloc0(4000);
+	guint n = 0;
+	guint i;
+	guint k;
+
+	setup(&l);
+	add_vm(&l, "vm1");
+	init_step(&step, &need, 1000, 0);
+	rp__step_job__init(&job);
+	job.steps = steps;
+	job.n_steps = 1;
+	job.payload.data = payload;
+	job.payload.len = 4000;
+	call(&l, RP__STEP_VERB__STEP_VERB_SUBMIT, "/q/a", &job);
+	for (i = 0; i < 100 && n < step.replicas; i++) {
+		struct sch_event ev = { .kind = SCH_EVENT_COMMITTED,
+					.revision = ++l.revision };
+
+		tick(&l, 20);
+		if (l.s->commit)
+			reduce(&l, &ev);
+		for (k = 0; k < l.effects->len; k++) {
+			const struct sch_effect *e =
+				&g_array_index(l.effects, struct sch_effect, k);
+
+			if (e->kind != SCH_EFFECT_ORDERS)
+				continue;
+			ck_assert_uint_lt(rp__frame__get_packed_size(e->frame),
+					  WIRE_MAX_FRAME_BYTES / 10);
+			n += (guint)e->frame->vm_orders->n_starts;
+		}
+		clear_effects(&l);
+	}
+	/* Within 2 s. */
+	ck_assert_uint_eq(n, step.replicas);
+	teardown(&l);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("sched/bound");
@@ -254,6 +305,7 @@
 	tcase_add_test(tcase, test_waiting_retries);
 	tcase_add_test(tcase, test_each_step_gets_its_turn);
 	tcase_add_test(tcase, test_reports_of_many_runs);
+	tcase_add_test(tcase, test_orders_are_sent_in_parts);
 	suite_add_tcase(suite, tcase);
 	return fixture_run(suite);
 }
--- a/sched/vm.c
+++ b/sched/vm.c
@@ -29,6 +29,14 @@
 /** End records are acknowledged in batches, this long after the last orders. */
 #define ACK_DELAY_MS 100
 
+/** Starts and stops in one message to an agent have about this size at most, as
+ * each start carries its job's payload; the others follow with the next ticks.
+ * A frame has a bound, and so has what the leader holds for all agents. */
+#define MAX_ORDERS_BYTES 65536
+
+/** Size of a start or stop without payload and checkpoint. */
+#define ORDER_BYTES 100
+
 /** A worker that has not answered its agent for this time gets no new tasks. */
 #define UNRESPONSIVE_MS 1200
 
@@ -724,23 +732,43 @@
 	return start;
 }
 
+static size_t start_bytes(const struct sch_run *run)
+{
+	const char *checkpoint = run->task->checkpoint;
+
+	return ORDER_BYTES + run->task->job->spec->payload.len +
+	       (checkpoint ? strlen(checkpoint) : 0);
+}
+
+/* Moves the first stops and starts to the orders, as many as MAX_ORDERS_BYTES
+ * allows and at least one. Stops go first, since they make room. */
 static void add_run_orders(struct sch_vm *vm, struct Rp__VmOrders *orders)
 {
-	guint i;
+	size_t bytes = 0;
+	guint n_stops = 0;
+	guint n_starts = 0;
 
-	orders->n_starts = vm->starts->len;
-	orders->starts = g_new0(struct Rp__RunStart *, vm->starts->len);
-	for (i = 0; i < vm->starts->len; i++)
-		orders->starts[i] = run_start_new(vm->starts->pdata[i]);
-	orders->n_stops = vm->stops->len;
 	orders->stops = g_new0(struct Rp__RunName *, vm->stops->len);
-	for (i = 0; i < vm->stops->len; i++) {
-		const struct sch_run_ref *ref = vm->stops->pdata[i];
+	while (n_stops < vm->stops->len && bytes < MAX_ORDERS_BYTES) {
+		const struct sch_run_ref *ref = vm->stops->pdata[n_stops];
 
-		orders->stops[i] = wire_run_name_new(ref->task, ref->attempt);
+		orders->stops[n_stops++] = wire_run_name_new(ref->task,
+							     ref->attempt);
+		bytes += ORDER_BYTES;
 	}
-	g_ptr_array_set_size(vm->starts, 0);
-	g_ptr_array_set_size(vm->stops, 0);
+	orders->starts = g_new0(struct Rp__RunStart *, vm->starts->len);
+	while (n_starts < vm->starts->len && bytes < MAX_ORDERS_BYTES) {
+		const struct sch_run *run = vm->starts->pdata[n_starts];
+
+		orders->starts[n_starts++] = run_start_new(run);
+		bytes += start_bytes(run);
+	}
+	orders->n_stops = n_stops;
+	orders->n_starts = n_starts;
+	if (n_stops)
+		g_ptr_array_remove_range(vm->stops, 0, n_stops);
+	if (n_starts)
+		g_ptr_array_remove_range(vm->starts, 0, n_starts);
 }
 
 static void send_orders(struct sch *s, struct sch_vm *vm)
